--- /dev/null
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -0,0 +1,391 @@
+"""The picture of the state service that a controller keeps in memory.
+
+It is fed from a listing, the watch and the controller's own commits, in any order: a change counts only if its
+revision is above the one known for its key.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.records import TaskState
+from gladecroft.protocol.settings import Team
+from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, Kind, decode
+
+log = logging.getLogger(__name__)
+
+#: Revisions of deleted keys that are kept, so that an older change can't bring a key back.
+TOMBSTONES = 20_000
+#: Final states kept in memory; older ones are read from the store when asked for.
+FINALS_KEPT = 5_000
+
+_EMPTY = rec.TaskRecord()
+
+
+class Job:
+    """An accepted job that is not over, with its tasks."""
+
+    __slots__ = (
+        "id", "spec", "record", "version", "chunks", "versions", "counts", "rank", "size",
+    )  # fmt: skip
+
+    def __init__(self, record: rec.JobRecord, version: int, size: int) -> None:
+        self.id = record.spec.id
+        self.spec: JobSpec = record.spec
+        self.record = record
+        self.version = version
+        self.size = size
+        self.chunks: dict[int, list[rec.TaskRecord]] = {}
+        self.versions: dict[int, int] = {}
+        self.counts = [record.spec.tasks, 0, 0, 0]
+        self.rank = PRIORITY_RANK[record.spec.priority]
+
+    @property
+    def cancelled(self) -> bool:
+        return self.record.cancelled
+
+    @property
+    def occupied(self) -> int:
+        return self.counts[TaskState.ACTIVE] + self.counts[TaskState.STOPPING]
+
+    @property
+    def done(self) -> int:
+        return self.counts[TaskState.DONE]
+
+    @property
+    def queued_count(self) -> int:
+        return 0 if self.cancelled else self.counts[TaskState.QUEUED]
+
+    @property
+    def over(self) -> bool:
+        """Nothing of it can run any more: all done, or cancelled with every attempt gone."""
+        return self.done == self.spec.tasks or (self.cancelled and self.occupied == 0)
+
+    def chunk_count(self) -> int:
+        return -(-self.spec.tasks // self.size)
+
+    def chunk_length(self, index: int) -> int:
+        return min(self.size, self.spec.tasks - index * self.size)
+
+    def task(self, number: int) -> rec.TaskRecord:
+        chunk = self.chunks.get(number // self.size)
+        return _EMPTY if chunk is None else chunk[number % self.size]
+
+    def queued_tasks(self) -> Iterator[int]:
+        for index in range(self.chunk_count()):
+            chunk = self.chunks.get(index)
+            base = index * self.size
+            if chunk is None:
+                yield from range(base, base + self.chunk_length(index))
+            else:
+                for offset, task in enumerate(chunk):
+                    if task.state == TaskState.QUEUED:
+                        yield base + offset
+
+    def placed(self) -> Iterator[tuple[int, rec.TaskRecord]]:
+        for index, chunk in self.chunks.items():
+            for offset, task in enumerate(chunk):
+                if task.state in (TaskState.ACTIVE, TaskState.STOPPING):
+                    yield index * self.size + offset, task
+
+
+TaskKey = tuple[str, int]
+
+
+class Picture:
+    def __init__(self, teams: list[Team], value_kb: float) -> None:
+        self.limits = {team.name: team for team in teams}
+        self.size = rec.chunk_size(value_kb)
+        self._team_names = {rec.team_key(team.name): team.name for team in teams}
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything, to be listed again."""
+        self.revision = 0
+        self.epoch: rec.EpochRecord | None = None
+        self.epoch_version = 0
+        self.members: dict[str, rec.MemberRecord] = {}
+        self.jobs: dict[str, Job] = {}
+        self.finals: OrderedDict[str, rec.FinalRecord] = OrderedDict()
+        self.teams: dict[str, rec.TeamRecord] = {}
+        self.machines: dict[str, rec.MachineRecord] = {}
+        #: What the records place on each machine.
+        self.on_machine: dict[str, dict[TaskKey, rec.TaskRecord]] = {}
+        #: Machines whose wanted tasks changed since the owner last looked.
+        self.touched: set[str] = set()
+        self._versions: dict[str, int] = {}
+        self._gone: OrderedDict[str, int] = OrderedDict()
+        self._orphans: dict[str, dict[int, tuple[list[rec.TaskRecord], int]]] = {}
+
+    def version(self, key: str) -> int:
+        """The revision of the key's last change as far as known; 0 if the key does not exist."""
+        return self._versions.get(key, 0)
+
+    def apply(self, key: str, value: bytes | msgspec.Raw | None, version: int) -> bool:
+        """Take in one change; False if it was no news."""
+        if version <= self._versions.get(key, 0) or version <= self._gone.get(key, 0):
+            return False
+        if value is None:
+            self._versions.pop(key, None)
+            self._gone[key] = version
+            if len(self._gone) > TOMBSTONES:
+                self._gone.popitem(last=False)
+        else:
+            self._versions[key] = version
+        try:
+            self._take(key, None if value is None else bytes(value), version)
+        except (msgspec.DecodeError, ValueError, IndexError) as error:
+            log.error("record %s at %d can't be read: %s", key, version, error)
+        return True
+
+    def _take(self, key: str, value: bytes | None, version: int) -> None:
+        kind, name = key[:4], key[4:]
+        if kind == rec.CHUNKS:
+            job, _, index = name.rpartition("/")
+            chunk = None if value is None else decode(rec.ChunkRecord, value).tasks
+            self._take_chunk(job, int(index), chunk, version)
+        elif kind == rec.JOBS:
+            self._take_job(name, None if value is None else decode(rec.JobRecord, value), version)
+        elif kind == rec.FINALS:
+            if value is not None:
+                self._forget_job(name)
+                self.note_final(name, decode(rec.FinalRecord, value))
+            self._versions.pop(key, None)  # final records never change; no need to know their revision
+        elif kind == rec.TEAMS:
+            team = self._team_names.get(key)
+            if team is not None:
+                self.teams[team] = rec.TeamRecord() if value is None else decode(rec.TeamRecord, value)
+        elif kind == rec.MACHINES:
+            if value is None:
+                self.machines.pop(name, None)
+            else:
+                self.machines[name] = decode(rec.MachineRecord, value)
+            self.touched.add(name)
+        elif kind == rec.MEMBERS:
+            if value is None:
+                self.members.pop(name, None)
+            else:
+                self.members[name] = decode(rec.MemberRecord, value)
+        elif key == rec.EPOCH:
+            self.epoch = None if value is None else decode(rec.EpochRecord, value)
+            self.epoch_version = version
+
+    def note_final(self, job: str, final: rec.FinalRecord) -> None:
+        self.finals[job] = final
+        self.finals.move_to_end(job)
+        if len(self.finals) > FINALS_KEPT:
+            self.finals.popitem(last=False)
+
+    def _take_job(self, name: str, record: rec.JobRecord | None, version: int) -> None:
+        if record is None:
+            self._forget_job(name)
+            return
+        job = self.jobs.get(name)
+        if job is None:
+            job = self.jobs[name] = Job(record, version, self.size)
+            for index, (chunk, chunk_version) in self._orphans.pop(name, {}).items():
+                self._take_chunk(name, index, chunk, chunk_version)
+        else:
+            was_cancelled = job.cancelled
+            job.record, job.version = record, version
+            if record.cancelled and not was_cancelled:
+                self.touched.update(task.machine for _, task in job.placed())
+
+    def _forget_job(self, name: str) -> None:
+        job = self.jobs.pop(name, None)
+        self._orphans.pop(name, None)
+        if job is None:
+            return
+        for number, task in job.placed():
+            self._lift(name, number, task.machine)
+        for index in job.chunks:
+            self._versions.pop(rec.chunk_key(name, index), None)
+
+    def _take_chunk(self, name: str, index: int, chunk: list[rec.TaskRecord] | None, version: int) -> None:
+        job = self.jobs.get(name)
+        if job is None:
+            if chunk is not None:
+                self._orphans.setdefault(name, {})[index] = (chunk, version)
+            else:
+                self._orphans.get(name, {}).pop(index, None)
+            return
+        if chunk is not None and len(chunk) != job.chunk_length(index):
+            raise ValueError("a chunk has the wrong length")
+        base = index * self.size
+        old = job.chunks.get(index)
+        for offset in range(job.chunk_length(index)):
+            before = old[offset] if old is not None else _EMPTY
+            after = chunk[offset] if chunk is not None else _EMPTY
+            if before == after:
+                continue
+            job.counts[before.state] -= 1
+            job.counts[after.state] += 1
+            if before.machine:
+                self._lift(name, base + offset, before.machine)
+            if after.machine:
+                self.on_machine.setdefault(after.machine, {})[(name, base + offset)] = after
+                self.touched.add(after.machine)
+        if chunk is None:
+            job.chunks.pop(index, None)
+            job.versions.pop(index, None)
+        else:
+            job.chunks[index] = chunk
+            job.versions[index] = version
+
+    def _lift(self, name: str, number: int, machine: str) -> None:
+        there = self.on_machine.get(machine)
+        if there is not None:
+            there.pop((name, number), None)
+            if not there:
+                del self.on_machine[machine]
+        self.touched.add(machine)
+
+    def orphans(self) -> Iterator[tuple[str, int]]:
+        """Chunks left behind by jobs that are over."""
+        for name, chunks in self._orphans.items():
+            for index, (_, version) in chunks.items():
+                yield rec.chunk_key(name, index), version
+
+    # Questions -----------------------------------------------------------------------------------------------
+
+    def used_by_team(self, team: str) -> rec.TeamRecord:
+        return self.teams.get(team) or rec.TeamRecord()
+
+    def used_on(self, machine: str) -> tuple[float, float, float]:
+        cpus = gpus = memory = 0.0
+        for job_id, _ in self.on_machine.get(machine, {}):
+            spec = self.jobs[job_id].spec
+            cpus += spec.cpus
+            gpus += spec.gpus
+            memory += spec.memory_gb
+        return cpus, gpus, memory
+
+    def never_runs(self, spec: JobSpec) -> str | None:
+        """Why the job is more than its team's limit allows for good, or None."""
+        team = self.limits.get(spec.team)
+        if team is None:
+            return f"unknown team {spec.team}"
+        times = spec.tasks if spec.kind is Kind.SERVICE else 1
+        if spec.cpus * times > team.cpus_max + 1e-9 or spec.gpus * times > team.gpus_max + 1e-9:
+            return f"needs more than the limit of team {spec.team}"
+        return None
+
+    def guaranteed(self) -> set[str]:
+        """Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs."""
+        inside: set[str] = set()
+        sums: dict[str, list[float]] = {}
+        for job in sorted(self.jobs.values(), key=lambda job: (job.record.accepted_ms, job.id)):
+            team = self.limits.get(job.spec.team)
+            if team is None or job.cancelled:
+                continue
+            total = sums.setdefault(job.spec.team, [0.0, 0.0])
+            total[0] += job.spec.cpus * job.spec.tasks
+            total[1] += job.spec.gpus * job.spec.tasks
+            if total[0] <= team.cpus + 1e-9 and total[1] <= team.gpus + 1e-9:
+                inside.add(job.id)
+        return inside
+
+
+class Change:
+    """One transaction in the making, on top of a picture."""
+
+    def __init__(self, picture: Picture, max_ops: int, max_bytes: int) -> None:
+        self.picture = picture
+        self.max_ops = max_ops
+        self.max_conditions = 4 * max_ops
+        self.max_bytes = max_bytes
+        self.conditions: dict[str, int] = {}
+        self.puts: dict[str, bytes | None] = {}
+        self._chunks: dict[tuple[str, int], list[rec.TaskRecord]] = {}
+        self._teams: dict[str, list[float]] = {}
+        self.notes: list[str] = []
+        self.require(rec.EPOCH, picture.epoch_version)
+
+    def require(self, key: str, version: int | None = None) -> None:
+        self.conditions.setdefault(key, self.picture.version(key) if version is None else version)
+
+    def room(self, jobs: int = 1, teams: int = 1, machines: int = 0) -> bool:
+        """Whether that many more chunks, team records and machine conditions surely fit."""
+        ops = len(self.puts) + len(self._chunks) + len(self._teams) + jobs + teams
+        conditions = len(self.conditions) + 2 * jobs + teams + machines
+        return ops <= self.max_ops and conditions <= self.max_conditions and self._bytes() < self.max_bytes
+
+    def _bytes(self) -> int:
+        size = 200 + 160 * len(self.conditions) + 200 * len(self._teams)
+        size += sum(100 + len(value or b"") for value in self.puts.values())
+        for chunk in self._chunks.values():
+            size += 100 + sum(16 + len(task.machine) + len(task.note) for task in chunk)
+        return size
+
+    def has_chunk(self, job: Job, number: int) -> bool:
+        return (job.id, number // job.size) in self._chunks
+
+    def has_team(self, team: str) -> bool:
+        return team in self._teams
+
+    def put(self, key: str, value: Any) -> None:
+        self.require(key)
+        self.puts[key] = msgspec.json.encode(value)
+
+    def drop(self, key: str) -> None:
+        self.require(key)
+        self.puts[key] = None
+
+    def task(self, job: Job, number: int) -> rec.TaskRecord:
+        chunk = self._chunks.get((job.id, number // job.size))
+        return job.task(number) if chunk is None else chunk[number % job.size]
+
+    def set_task(self, job: Job, number: int, record: rec.TaskRecord) -> None:
+        """Change a task and, with it, what its team uses."""
+        index, offset = divmod(number, job.size)
+        chunk = self._chunks.get((job.id, index))
+        if chunk is None:
+            known = job.chunks.get(index)
+            chunk = list(known) if known is not None else [_EMPTY] * job.chunk_length(index)
+            self._chunks[(job.id, index)] = chunk
+            self.require(rec.job_key(job.id), job.version)
+            self.require(rec.chunk_key(job.id, index), job.versions.get(index, 0))
+        before = chunk[offset]
+        chunk[offset] = record
+        step = bool(record.machine) - bool(before.machine)
+        if step:
+            used = self._used(job.spec.team)
+            used[0] = max(0.0, round(used[0] + step * job.spec.cpus, 6))
+            used[1] = max(0.0, round(used[1] + step * job.spec.gpus, 6))
+
+    def _used(self, team: str) -> list[float]:
+        used = self._teams.get(team)
+        if used is None:
+            known = self.picture.used_by_team(team)
+            used = self._teams[team] = [known.cpus, known.gpus]
+            self.require(rec.team_key(team))
+        return used
+
+    def team_room(self, job: Job) -> int:
+        """How many more tasks of the job its team's limit allows."""
+        limit = self.picture.limits[job.spec.team]
+        used = self._teams.get(job.spec.team)
+        if used is None:
+            known = self.picture.used_by_team(job.spec.team)
+            used = [known.cpus, known.gpus]
+        room = job.spec.tasks
+        for need, most, now in ((job.spec.cpus, limit.cpus_max, used[0]), (job.spec.gpus, limit.gpus_max, used[1])):
+            if need > 0:
+                room = min(room, int((most - now + 1e-6) / need))
+        return max(0, room)
+
+    def finish(self) -> bool:
+        """Turn the edited chunks and teams into puts; False if nothing is to be changed."""
+        for (job, index), chunk in self._chunks.items():
+            self.puts[rec.chunk_key(job, index)] = msgspec.json.encode(rec.ChunkRecord(chunk))
+        for team, (cpus, gpus) in self._teams.items():
+            self.puts[rec.team_key(team)] = msgspec.json.encode(rec.TeamRecord(cpus, gpus))
+        self._chunks.clear()
+        self._teams.clear()
+        return bool(self.puts)
--- /dev/null
+++ b/src/gladecroft/bookkeeping/records.py
@@ -0,0 +1,119 @@
+"""The form of what is kept in the state service.
+
+g/epoch            the epoch: members, leader, machines moved by hand of the split
+g/n/<controller>   member key, on a state lease
+g/j/<job>          an accepted job until it is over
+g/p/<job>/<chunk>  its tasks, CHUNK of them
+g/f/<job>          a job that is over; kept for ever
+g/t/<team>         what a team's attempts use
+g/m/<machine>      a machine that has reported
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+from gladecroft.protocol.wire import JobSpec
+
+ROOT = "g/"
+EPOCH = "g/epoch"
+MEMBERS = "g/n/"
+JOBS = "g/j/"
+CHUNKS = "g/p/"
+FINALS = "g/f/"
+TEAMS = "g/t/"
+MACHINES = "g/m/"
+
+#: Bytes that one task's record may take.
+TASK_BYTES = 80
+
+
+class TaskState(IntEnum):
+    QUEUED = 0
+    ACTIVE = 1
+    STOPPING = 2
+    DONE = 3
+
+
+class EpochRecord(msgspec.Struct, frozen=True):
+    number: int
+    leader: str
+    members: dict[str, int]
+    moved: dict[str, str] = {}
+
+
+class MemberRecord(msgspec.Struct, frozen=True):
+    incarnation: int
+
+
+class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    spec: JobSpec
+    accepted_ms: int
+    cancelled: bool = False
+
+
+class FinalRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    done: bool
+    tasks: int = 0
+    reason: str = ""
+
+
+class TaskRecord(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    state: TaskState = TaskState.QUEUED
+    attempt: int = 0
+    machine: str = ""
+    failures: int = 0
+    note: str = ""
+    placed_s: int = 0
+
+
+class ChunkRecord(msgspec.Struct, frozen=True):
+    tasks: list[TaskRecord]
+
+
+class TeamRecord(msgspec.Struct, frozen=True):
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+
+class MachineUse(IntEnum):
+    UP = 0
+    SILENT = 1
+    LEAVING = 2
+    BAD = 3
+    RETURNING = 4
+
+
+class MachineRecord(msgspec.Struct, frozen=True):
+    type: str
+    zone: str
+    spot: bool
+    addr: str
+    use: MachineUse = MachineUse.UP
+
+
+def chunk_size(value_kb: float) -> int:
+    return max(1, int(value_kb * 1024 * 0.95) // TASK_BYTES)
+
+
+def job_key(job: str) -> str:
+    return JOBS + job
+
+
+def final_key(job: str) -> str:
+    return FINALS + job
+
+
+def chunk_key(job: str, index: int) -> str:
+    return f"{CHUNKS}{job}/{index}"
+
+
+def team_key(team: str) -> str:
+    # Keys hold no spaces; a team's name may.
+    return TEAMS + team.encode().hex()
+
+
+def machine_key(machine: str) -> str:
+    return MACHINES + machine
--- /dev/null
+++ b/src/gladecroft/cli.py
@@ -0,0 +1,110 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+from datetime import timedelta
+
+import anyio
+import click
+import msgspec
+
+from gladecroft import __version__
+from gladecroft.protocol import wire
+from gladecroft.protocol.settings import Operator, Platform, SettingsError, load_operator, load_platform, split_addr
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+BAD_SETTINGS = 2
+UNREACHABLE = 3
+
+
+def _load(config: str, properties: str | None) -> tuple[Platform, Operator]:
+    try:
+        return load_platform(config), load_operator(properties)
+    except SettingsError as error:
+        click.echo(f"gladecroft: {error}", err=True)
+        sys.exit(BAD_SETTINGS)
+
+
+def _log_to_stderr() -> None:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    if name not in LEVELS:
+        click.echo(f"gladecroft: LOG_LEVEL: expected error, info or debug, got {name!r}", err=True)
+        sys.exit(BAD_SETTINGS)
+    logging.basicConfig(level=LEVELS[name], stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+
+
+@click.group()
+@click.version_option(__version__, prog_name="gladecroft")
+def main() -> None:
+    """A cluster scheduler in which a high-priority and a low-priority placer cooperate."""
+
+
+_config = click.option("--config", required=True, type=str, help="The platform's settings file (TOML).")
+_properties = click.option(
+    "--properties",
+    type=str,
+    envvar="GLADECROFT_PROPERTIES",
+    help="The operators' own settings (Java-style properties). Default: GLADECROFT_PROPERTIES, else none.",
+)
+
+
+@main.command()
+@_config
+@_properties
+def serve(config: str, properties: str | None) -> None:
+    """Run a controller until it is ended."""
+    platform, operator = _load(config, properties)
+    _log_to_stderr()
+    from gladecroft.service import Service  # the other commands need no sockets
+
+    try:
+        anyio.run(Service(platform, operator).run)
+    except KeyboardInterrupt:
+        sys.exit(130)
+    except OSError as error:
+        click.echo(f"gladecroft: can't serve: {error}", err=True)
+        sys.exit(1)
+
+
+@main.command("check-config")
+@_config
+@_properties
+def check_config(config: str, properties: str | None) -> None:
+    """Check the settings files and say what is wrong with them."""
+    platform, _ = _load(config, properties)
+    click.echo(f"{config}: good: controller {platform.name} and {len(platform.peers)} siblings")
+
+
+@main.command()
+@click.option("--node", required=True, help="A controller's address, HOST:PORT (for --view: its peer address).")
+@click.option("--view", is_flag=True, help="Show the controller's own view instead of a job.")
+@click.argument("job", required=False)
+def status(node: str, view: bool, job: str | None) -> None:
+    """Show a JOB's state, with the reason it waits or stopped, or a controller's view."""
+    if view == (job is not None):
+        raise click.UsageError("name a JOB, or give --view")
+    if job is not None and not wire.JOB_ID.match(job):
+        click.echo(f"gladecroft: {job}: not a job's name", err=True)
+        sys.exit(BAD_SETTINGS)
+    try:
+        addr = split_addr(node, "--node")
+    except SettingsError as error:
+        click.echo(f"gladecroft: {error}", err=True)
+        sys.exit(BAD_SETTINGS)
+    from gladecroft.transport.client import Answer, Client
+
+    async def ask() -> Answer:
+        path = "/view" if view else f"{wire.SUBMIT_PATH}/{job}"
+        return await Client(1, timedelta(seconds=3)).request(addr, "GET", path, None, timedelta(seconds=5))
+
+    answer = anyio.run(ask)
+    if answer.status <= 0:
+        click.echo(f"gladecroft: {node} does not answer", err=True)
+        sys.exit(UNREACHABLE)
+    if answer.status != 200:
+        click.echo(f"gladecroft: {node} answers {answer.status}: {answer.body.decode(errors='replace')}", err=True)
+        sys.exit(1)
+    click.echo(msgspec.json.format(answer.body, indent=2).decode())
--- /dev/null
+++ b/src/gladecroft/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: membership, placement, machines, the fleet. No I/O: time and events in, effects out."""
--- /dev/null
+++ b/src/gladecroft/coordination/core.py
@@ -0,0 +1,90 @@
+"""The one owner of all in-process state: (time, events) in, effects out."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gladecroft.coordination.fleet import Fleet
+from gladecroft.coordination.keeper import Keeper
+from gladecroft.coordination.ledger import Ledger
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.messages import Answered, Asked, Clock, Effect, Event, Verb, Watched
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.placers import Placers
+from gladecroft.coordination.users import Users
+from gladecroft.protocol.settings import Operator, Platform
+from gladecroft.protocol.wire import encode
+
+
+class Core:
+    def __init__(self, platform: Platform, operator: Operator) -> None:
+        self.node = Node(platform, operator)
+        self.membership = Membership(self.node)
+        self.ledger = Ledger(self.node, self.membership)
+        self.keeper = Keeper(self.node, self.membership, self.ledger)
+        self.placers = Placers(self.node, self.membership, self.keeper, self.ledger)
+        self.fleet = Fleet(self.node, self.membership, self.keeper, self.ledger, self.placers)
+        self.users = Users(self.node, self.membership, self.placers.fits)
+        self.users.reason = self.placers.reason
+
+    def step(self, clock: Clock, events: list[Event]) -> list[Effect]:
+        """Take in a batch of events and say what is to be done."""
+        node = self.node
+        node.now, node.wall = clock.steady, clock.wall
+        for event in events:
+            if isinstance(event, Answered):
+                node.answered(event.call, event.status, event.body)
+            elif isinstance(event, Watched):
+                self.membership.watched(event)
+            else:
+                self._asked(event)
+        self.membership.tick()
+        if self.membership.changed:
+            self.membership.changed = False
+            self.ledger.epoch_changed()
+            self.keeper.epoch_changed()
+            self.fleet.epoch_changed()
+        self.users.tick()
+        self.keeper.tick()
+        self.fleet.tick()
+        self.ledger.flush()
+        self.keeper.work()
+        return node.take_effects()
+
+    def _asked(self, asked: Asked) -> None:
+        if asked.verb is Verb.REPORT:
+            self.keeper.reported(asked)
+        elif asked.verb is Verb.HEALTH:
+            if self.healthy():
+                self.node.reply(asked.number, 200, b"{}")
+            else:
+                self.node.refuse(asked.number, 503, "can't take requests now", 1)
+        elif asked.verb is Verb.VIEW:
+            self.node.reply(asked.number, 200, encode(self.view()))
+        else:
+            self.users.asked(asked)
+
+    def healthy(self) -> bool:
+        return self.node.loaded and not self.node.state_down() and bool(self.placers.types)
+
+    def view(self) -> dict[str, Any]:
+        """This controller's own view, for operators; no jobs in it."""
+        epoch = self.membership.epoch
+        machines = self.node.picture.machines
+        return {
+            "name": self.node.name,
+            "healthy": self.healthy(),
+            "role": "leader" if self.membership.leads() else "member" if self.membership.entitled() else "outside",
+            "epoch": None if epoch is None else epoch.number,
+            "members": [] if epoch is None else sorted(epoch.members),
+            "revision": self.node.picture.revision,
+            "part": sorted(name for name in machines if self.membership.owner(name) == self.node.name),
+            "machines": len(machines),
+            "jobs": len(self.node.picture.jobs),
+            "budgets": {
+                "state_requests": round(self.node.requests.level, 1),
+                "state_writes": round(self.node.writes.level, 1),
+                "cloud": round(self.node.cloud_calls.level, 1),
+            },
+            "queues": {**self.users.queue_lengths(), "exits": len(self.ledger.exits)},
+        }
--- /dev/null
+++ b/src/gladecroft/coordination/fleet.py
@@ -0,0 +1,394 @@
+"""The leader's dealings with the cloud: what to rent, what to return."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+import msgspec
+
+from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.records import MachineUse, machine_key
+from gladecroft.coordination.keeper import Keeper
+from gladecroft.coordination.ledger import Ledger
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.placers import Placers
+from gladecroft.protocol import wire
+from gladecroft.protocol.wire import ListedMachine, MachineState, MachineType
+
+log = logging.getLogger(__name__)
+
+LIST_EVERY = timedelta(seconds=3)
+PLAN_EVERY = timedelta(seconds=1)
+TYPES_EVERY = timedelta(seconds=45)
+REFUSED_FOR = timedelta(seconds=15)
+PAGE = 500
+RENT_MOST = 50
+RETURN_MOST = 100
+
+Kind = tuple[str, str, bool]  # type, zone, spot
+
+
+class Coming(msgspec.Struct, eq=False):
+    """A machine that was rented and has not reported yet."""
+
+    kind: Kind
+    since: timedelta
+
+
+class Booking(msgspec.Struct, eq=False):
+    request: str
+    kind: Kind
+    count: int
+    since: timedelta
+    busy: bool = False
+    tries: int = 0
+
+
+class Fleet:
+    def __init__(self, node: Node, membership: Membership, keeper: Keeper, ledger: Ledger, placers: Placers) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.keeper = keeper
+        self.ledger = ledger
+        self.placers = placers
+        self.coming: dict[str, Coming] = {}
+        self.listed: dict[str, ListedMachine] = {}
+        self.list_complete = False
+        self._bookings: dict[str, Booking] = {}
+        self._next_booking = 0
+        self._refused: dict[Kind, timedelta] = {}
+        self._idle_since: dict[str, timedelta] = {}
+        self._returned: dict[str, timedelta] = {}
+        self._returning: set[str] = set()
+        self._types_at = timedelta(days=-1)
+        self._types_busy = False
+        self._list_at = timedelta(days=-1)
+        self._list_busy = False
+        self._list_page: dict[str, ListedMachine] = {}
+        self._plan_at = timedelta(days=-1)
+        self._seen_at: dict[str, timedelta] = {}
+
+    def epoch_changed(self) -> None:
+        if not self.membership.member() or self.picture.epoch is None or self.picture.epoch.leader != self.node.name:
+            self.coming.clear()
+            self.listed.clear()
+            self.list_complete = False
+            self._bookings.clear()
+            self._idle_since.clear()
+            self._returning.clear()
+            self._list_busy = False
+
+    def tick(self) -> None:
+        now = self.node.now
+        if not self._types_busy and now - self._types_at >= (
+            TYPES_EVERY if self.placers.types else timedelta(seconds=1)
+        ):
+            self._ask_types()
+        if not self.membership.leads() or not self.placers.types:
+            return
+        if not self._list_busy and now - self._list_at >= LIST_EVERY:
+            self._ask_list(None)
+        if self.list_complete and now - self._plan_at >= PLAN_EVERY:
+            self._plan_at = now
+            self._watch_over()
+            self._plan()
+        self._send_bookings()
+
+    # Types and list ------------------------------------------------------------------------------------------
+
+    def _ask_types(self) -> None:
+        def then(status: int, body: bytes) -> None:
+            self._types_busy = False
+            if status == 200:
+                types: list[MachineType] = wire.decode(wire.MachineTypes, body).types
+                self.placers.types = {kind.name: kind for kind in types}
+
+        self._types_at = self.node.now
+        self._types_busy = self.node.cloud("GET", wire.TYPES_PATH, None, then)
+
+    def _ask_list(self, after: str | None) -> None:
+        def then(status: int, body: bytes) -> None:
+            self._list_busy = False
+            if not self.membership.leads():
+                return
+            if status != 200:
+                return
+            page: wire.MachineList = wire.decode(wire.MachineList, body)
+            for machine in page.machines:
+                self._list_page[machine.id] = machine
+            if page.more and page.machines:
+                self._ask_list(page.machines[-1].id)
+                return
+            self.listed, self._list_page = self._list_page, {}
+            self.list_complete = True
+
+        if after is None:
+            self._list_page = {}
+        self._list_at = self.node.now
+        self._list_busy = self.node.cloud("GET", wire.list_path(after, PAGE), None, then)
+
+    # Renting -------------------------------------------------------------------------------------------------
+
+    def _rent(self, kind: Kind, count: int) -> None:
+        epoch = self.picture.epoch
+        assert epoch is not None
+        self._next_booking += 1
+        # The epoch's number and this incarnation's counter make a name that nobody else ever uses.
+        request = f"r-{epoch.number}-{self.membership.incarnation}-{self._next_booking}"
+        self._bookings[request] = Booking(request, kind, count, self.node.now)
+        log.info("renting %d %s in %s%s as %s", count, kind[0], kind[1], " (spot)" if kind[2] else "", request)
+
+    def _send_bookings(self) -> None:
+        for booking in list(self._bookings.values()):
+            if not booking.busy:
+                self._book(booking)
+
+    def _book(self, booking: Booking) -> None:
+        def then(status: int, body: bytes) -> None:
+            booking.busy = False
+            if booking.request not in self._bookings:
+                return
+            if status == 200:
+                del self._bookings[booking.request]
+                names: list[str] = wire.decode(wire.MachineNames, body).machines
+                for name in names:
+                    self.coming[name] = Coming(booking.kind, self.node.now)
+                if len(names) < booking.count:
+                    self._refused[booking.kind] = self.node.now + REFUSED_FOR
+                log.info("%s brought %d of %d machines", booking.request, len(names), booking.count)
+            elif status in (400, 503) and b"capacity" in body or status == 400:
+                del self._bookings[booking.request]
+                self._refused[booking.kind] = self.node.now + REFUSED_FOR
+                log.info("%s refused: no capacity for %s", booking.request, booking.kind)
+            else:
+                booking.tries += 1
+                # What an abandoned booking still brings shows up in the list and is used as it comes.
+                if booking.tries > 5:
+                    del self._bookings[booking.request]
+
+        rent = wire.Rent(booking.request, booking.kind[0], booking.kind[1], booking.kind[2], booking.count)
+        booking.busy = self.node.cloud("POST", wire.MACHINES_PATH, wire.encode(rent), then)
+
+    # Planning ------------------------------------------------------------------------------------------------
+
+    def _watch_over(self) -> None:
+        """Compare the list with what reports: late boots, failed and silent machines, strays."""
+        now = self.node.now
+        doomed: list[str] = []
+        self._returned = {name: at for name, at in self._returned.items() if now - at < timedelta(seconds=120)}
+        for name, machine in self.listed.items():
+            if name in self._returned:
+                continue
+            self._seen_at.setdefault(name, now)
+            kind = self.placers.types.get(machine.type)
+            boot = timedelta(seconds=kind.boot_s if kind else 60.0)
+            if machine.state is MachineState.FAILED:
+                doomed.append(name)
+            elif name not in self.picture.machines:
+                if name not in self.coming:
+                    age = timedelta(seconds=machine.age_s)
+                    self.coming[name] = Coming((machine.type, machine.zone, machine.spot), now - age)
+                if now - self.coming[name].since > 3.5 * boot + timedelta(seconds=10):
+                    log.info("%s has not come up: returning it", name)
+                    doomed.append(name)
+        for name in list(self.coming):
+            if name in self.picture.machines or name not in self.listed and now - self.coming[name].since > timedelta(
+                seconds=30 + 4 * self.node.cluster.cloud.list_lag_s
+            ):
+                del self.coming[name]
+        for name, record in self.picture.machines.items():
+            if record.use is MachineUse.SILENT and self._long_silent(name) or record.use in (MachineUse.BAD, MachineUse.LEAVING) and not self.picture.on_machine.get(name):
+                doomed.append(name)
+            elif record.use is MachineUse.RETURNING:
+                # Somebody may have placed on it just before its record changed: then it stays.
+                if self.picture.on_machine.get(name):
+                    self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.UP))
+                elif self.picture.version(machine_key(name)) <= self.picture.revision:
+                    doomed.append(name)
+        self._return(doomed)
+
+    def _long_silent(self, name: str) -> bool:
+        since = self._idle_since.setdefault("silent " + name, self.node.now)
+        return self.node.now - since > self.node.lease
+
+    def _return(self, names: list[str]) -> None:
+        names = [name for name in names if name not in self._returning and name not in self._returned][:RETURN_MOST]
+        if not names:
+            return
+
+        def then(status: int, body: bytes) -> None:
+            self._returning.difference_update(names)
+            if status == 200:
+                for name in names:
+                    self._returned[name] = self.node.now
+                    self.coming.pop(name, None)
+                    self.keeper.returned(name)
+                log.info("returned %s", ",".join(names))
+
+        if self.node.cloud("POST", wire.RETURN_PATH, wire.encode(wire.MachineNames(names)), then):
+            self._returning.update(names)
+
+    def _plan(self) -> None:
+        now = self.node.now
+        guaranteed = self.picture.guaranteed()
+        bins = self._bins()
+        for booking in self._bookings.values():
+            kind = self.placers.types.get(booking.kind[0])
+            if kind is not None:
+                bins += [_Bin(booking.kind, kind.cpus, kind.gpus, kind.memory_gb) for _ in range(booking.count)]
+        want: dict[Kind, int] = {}
+        waiting = [job for job in self.picture.jobs.values() if job.queued_count]
+        for job in self.placers.order(waiting, guaranteed):
+            self._fill(job, bins, want)
+        self._reserve(bins, want)
+        for kind, count in want.items():
+            for start in range(0, count, RENT_MOST):
+                self._rent(kind, min(RENT_MOST, count - start))
+        if not waiting:
+            self._give_back(now)
+        else:
+            self._idle_since = {name: at for name, at in self._idle_since.items() if name.startswith("silent ")}
+        for key in list(self._idle_since):
+            name = key.removeprefix("silent ")
+            record = self.picture.machines.get(name)
+            if record is None or (key != name and record.use is not MachineUse.SILENT):
+                del self._idle_since[key]
+
+    def _bins(self) -> list[_Bin]:
+        """What is up or coming, with its free room."""
+        bins: list[_Bin] = []
+        for name, record in self.picture.machines.items():
+            kind = self.placers.types.get(record.type)
+            if kind is None or record.use is not MachineUse.UP:
+                continue
+            cpus, gpus, memory = self.picture.used_on(name)
+            bins.append(
+                _Bin(
+                    (record.type, record.zone, record.spot), kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory
+                )
+            )
+        for coming in self.coming.values():
+            kind = self.placers.types.get(coming.kind[0])
+            # A boot that takes much too long is not counted on.
+            if kind is not None and self.node.now - coming.since < timedelta(seconds=2 * kind.boot_s + 5):
+                bins.append(_Bin(coming.kind, kind.cpus, kind.gpus, kind.memory_gb))
+        return bins
+
+    def _fill(self, job: Job, bins: list[_Bin], want: dict[Kind, int]) -> None:
+        """Put a job's waiting tasks into bins, opening new ones by the cheapest kinds."""
+        spec = job.spec
+        left = min(job.queued_count, self._limit_room(job))
+        cap = spec.zone_cap()
+        zones = self.placers.zones_used(job)
+        if spec.one_zone and zones:
+            left_zone: str | None = next(iter(zones))
+        else:
+            left_zone = None
+        for bin in bins:
+            if left <= 0:
+                return
+            if left_zone is not None and bin.kind[1] != left_zone:
+                continue
+            if not self.placers.allowed(spec, *bin.kind):
+                continue
+            count = min(left, bin.holds(job), cap - zones.get(bin.kind[1], 0))
+            if count > 0:
+                bin.take(job, count)
+                zones[bin.kind[1]] = zones.get(bin.kind[1], 0) + count
+                left -= count
+        while left > 0:
+            kind = self._cheapest(job, zones, left_zone)
+            if kind is None:
+                return
+            machine = self.placers.types[kind[0]]
+            bin = _Bin(kind, machine.cpus, machine.gpus, machine.memory_gb)
+            count = min(left, bin.holds(job), cap - zones.get(kind[1], 0))
+            if count <= 0:
+                return
+            bin.take(job, count)
+            bins.append(bin)
+            want[kind] = want.get(kind, 0) + 1
+            zones[kind[1]] = zones.get(kind[1], 0) + count
+            left -= count
+
+    def _limit_room(self, job: Job) -> int:
+        limit = self.picture.limits[job.spec.team]
+        used = self.picture.used_by_team(job.spec.team)
+        if job.spec.cpus <= 0:
+            return job.queued_count
+        return max(0, int((limit.cpus_max - used.cpus + 1e-6) / job.spec.cpus))
+
+    def _cheapest(self, job: Job, zones: dict[str, int], only: str | None) -> Kind | None:
+        spec = job.spec
+        cap = spec.zone_cap()
+        best: tuple[float, int, str] | None = None
+        choice: Kind | None = None
+        for kind in self.placers.types.values():
+            for zone in kind.zones:
+                if zones.get(zone, 0) >= cap or (only is not None and zone != only):
+                    continue
+                for spot in (True, False):
+                    if not self.placers.allowed(spec, kind.name, zone, spot):
+                        continue
+                    if self._refused.get((kind.name, zone, spot), timedelta(days=-1)) > self.node.now:
+                        continue
+                    price = kind.spot_price if spot else kind.price
+                    there = sum(1 for record in self.picture.machines.values() if record.zone == zone)
+                    there += sum(1 for coming in self.coming.values() if coming.kind[1] == zone)
+                    rank = (round(price / max(kind.cpus, 1e-9), 4), there, zone)
+                    if best is None or rank < best:
+                        best, choice = rank, (kind.name, zone, spot)
+        return choice
+
+    def _reserve(self, bins: list[_Bin], want: dict[Kind, int]) -> None:
+        """Nothing yet: room ahead of need is bought by keeping idle machines for a while."""
+
+    def _give_back(self, now: timedelta) -> None:
+        idle_for = timedelta(seconds=self.node.operator.machine_idle)
+        idle: list[tuple[float, str]] = []
+        used = free = 0.0
+        for name, record in self.picture.machines.items():
+            kind = self.placers.types.get(record.type)
+            if kind is None or record.use is not MachineUse.UP:
+                continue
+            cpus = self.picture.used_on(name)[0]
+            used += cpus
+            free += kind.cpus - cpus
+            if self.picture.on_machine.get(name):
+                self._idle_since.pop(name, None)
+                continue
+            since = self._idle_since.setdefault(name, now)
+            if now - since >= idle_for:
+                idle.append((-(kind.spot_price if record.spot else kind.price), name))
+        reserve = self.node.operator.machine_reserve * used
+        for _, name in sorted(idle):
+            record = self.picture.machines[name]
+            kind = self.placers.types[record.type]
+            if free - kind.cpus < reserve:
+                continue
+            free -= kind.cpus
+            # Its record changes first, so that nobody places on it any more; then it is returned.
+            log.info("%s is idle: giving it back", name)
+            self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.RETURNING))
+
+
+class _Bin:
+    __slots__ = ("kind", "cpus", "gpus", "memory")
+
+    def __init__(self, kind: Kind, cpus: float, gpus: float, memory: float) -> None:
+        self.kind, self.cpus, self.gpus, self.memory = kind, cpus, gpus, memory
+
+    def holds(self, job: Job) -> int:
+        room = job.spec.tasks
+        for need, free in ((job.spec.cpus, self.cpus), (job.spec.gpus, self.gpus), (job.spec.memory_gb, self.memory)):
+            if need > 0:
+                room = min(room, int((free + 1e-6) / need))
+        return max(0, room)
+
+    def take(self, job: Job, count: int) -> None:
+        self.cpus -= job.spec.cpus * count
+        self.gpus -= job.spec.gpus * count
+        self.memory -= job.spec.memory_gb * count
--- /dev/null
+++ b/src/gladecroft/coordination/keeper.py
@@ -0,0 +1,369 @@
+"""The owner's work for each of its machines: answer reports, give commands, tell what is gone.
+
+What the records place on a machine is *wanted*, what its newest report lists is *present*; the commands are the
+difference. Absence proves something only in a *trusted* report: no direct command is unanswered, and the report
+carries the fencing token, so that nothing sent earlier can still be executed.
+"""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.records import MachineRecord, MachineUse, TaskState
+from gladecroft.coordination.ledger import Ledger, Outcome
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.messages import Asked
+from gladecroft.coordination.node import SLACK, Node
+from gladecroft.protocol import wire
+from gladecroft.protocol.wire import Command, Commands, Op, Report, Steward, TaskReport, Why
+from gladecroft.protocol.wire import TaskState as Seen
+
+log = logging.getLogger(__name__)
+
+MARGIN = timedelta(seconds=0.5)
+RESEND = timedelta(seconds=1.5)
+BOUNCE_APART = timedelta(seconds=3)
+BOUNCE_WINDOW = timedelta(seconds=20)
+BODY_BUDGET = 48_000
+
+TaskKey = tuple[str, int]
+
+
+def task_key(task: str) -> TaskKey | None:
+    job, _, number = task.rpartition("/")
+    return (job, int(number)) if job and number.isdigit() and len(number) < 10 else None
+
+
+class Machine(msgspec.Struct, eq=False):
+    """A machine as its owner knows it."""
+
+    id: str
+    owner_since: timedelta
+    fence: int
+    token: int
+    report: Report | None = None
+    present: dict[TaskKey, TaskReport] = {}
+    answered_at: timedelta | None = None
+    heard_at: timedelta | None = None
+    direct: bool = False
+    sent: dict[tuple[str, int, int, Op], timedelta] = {}
+    errors: dict[str, int] = {}
+    images: dict[str, None] = {}
+    lost: bool = False
+    empty_since: timedelta | None = None
+
+    def trusted(self) -> bool:
+        return self.report is not None and not self.direct and self.report.token >= self.fence
+
+
+class Keeper:
+    def __init__(self, node: Node, membership: Membership, ledger: Ledger) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.ledger = ledger
+        self.machines: dict[str, Machine] = {}
+        self._bounced: dict[str, timedelta] = {}
+        #: Jobs of which an attempt has completed: their failures point at the machine.
+        self._sound: dict[str, None] = {}
+
+    # Ownership -----------------------------------------------------------------------------------------------
+
+    def epoch_changed(self) -> None:
+        """Forget what is no longer ours; what stays ours keeps its fence."""
+        for name in list(self.machines):
+            if not self.membership.member() or self.membership.owner(name) != self.node.name:
+                del self.machines[name]
+        self._bounced.clear()
+        self.picture.touched.update(self.picture.on_machine, self.picture.machines)
+
+    def machine(self, name: str) -> Machine:
+        machine = self.machines.get(name)
+        if machine is None:
+            base = self.membership.base_token()
+            machine = self.machines[name] = Machine(name, self.membership.epoch_seen_at, base, base)
+        return machine
+
+    def token(self, machine: Machine) -> int:
+        machine.token = max(machine.token, self.membership.base_token())
+        return machine.token
+
+    # Reports -------------------------------------------------------------------------------------------------
+
+    def reported(self, asked: Asked) -> None:
+        node = self.node
+        try:
+            report: Report = wire.decode(Report, asked.body)
+        except msgspec.DecodeError as error:
+            node.refuse(asked.number, 400, str(error))
+            return
+        if not self.membership.entitled():
+            node.refuse(asked.number, 503, "not entitled to act", 1)
+            return
+        owner = self.membership.owner(report.machine)
+        if owner != node.name:
+            self._bounce(report.machine)
+            node.reply(asked.number, 421, wire.encode(Steward(owner)))
+            return
+        machine = self.machine(report.machine)
+        if report.token > self.token(machine):
+            # The machine has seen a newer epoch than this controller has.
+            node.refuse(asked.number, 503, "a newer epoch is about", 1)
+            return
+        if not self._take(machine, report):
+            node.refuse(asked.number, 503, "a newer report is known", 1)
+            return
+        machine.answered_at = node.now
+        commands = self._commands(machine)
+        node.reply(asked.number, 200, wire.encode(Commands(self.token(machine), commands)))
+        self.picture.touched.discard(machine.id)
+
+    def _bounce(self, name: str) -> None:
+        """A machine that keeps coming here though it is another's can't reach its owner: ask to have it moved."""
+        now = self.node.now
+        first = self._bounced.get(name)
+        if first is None or now - first > BOUNCE_WINDOW:
+            self._bounced[name] = now
+        elif now - first >= BOUNCE_APART:
+            log.info("%s can't reach its owner %s: moving it here", name, self.membership.owner(name))
+            self.membership.want_move(name)
+
+    def _take(self, machine: Machine, report: Report) -> bool:
+        """Take in a report if it is the newest."""
+        old = machine.report
+        if old is not None and (report.session, report.seq) <= (old.session, old.seq):
+            return False
+        if old is None or report.session != old.session:
+            machine.sent = {}
+            if old is not None:
+                log.info("%s is in session %d", machine.id, report.session)
+        machine.report = report
+        machine.heard_at = self.node.now
+        machine.lost = False
+        machine.present = {}
+        for task in report.tasks:
+            key = task_key(task.task)
+            if key is not None:
+                machine.present[key] = task
+        self._judge(machine)
+        self._note_machine(machine, report)
+        return True
+
+    def _note_machine(self, machine: Machine, report: Report) -> None:
+        known = self.ledger.machine(machine.id)
+        use = MachineUse.UP if known is None else known.use
+        if use is MachineUse.SILENT:
+            use = MachineUse.UP
+        if report.notice_s is not None and use is not MachineUse.BAD:
+            use = MachineUse.LEAVING
+        self.ledger.put_machine(machine.id, MachineRecord(report.type, report.zone, report.spot, report.addr, use))
+
+    def _judge(self, machine: Machine) -> None:
+        """Compare present with wanted and note the attempts that are proven gone."""
+        wanted = self.picture.on_machine.get(machine.id, {})
+        for key, task in wanted.items():
+            seen = machine.present.get(key)
+            if seen is not None and seen.attempt == task.attempt:
+                if seen.state is Seen.EXITED:
+                    self._exited(machine, key, task, seen)
+                elif seen.state is Seen.RUNNING:
+                    job = self.picture.jobs.get(key[0])
+                    if job is not None:
+                        machine.images.pop(job.spec.image, None)
+                        machine.images[job.spec.image] = None
+                        while len(machine.images) > 12:
+                            del machine.images[next(iter(machine.images))]
+            elif seen is None and task.state == TaskState.STOPPING and machine.trusted():
+                self.ledger.exit(*key, task.attempt, Outcome(False, task.note or "stopped"))
+
+    def _exited(self, machine: Machine, key: TaskKey, task: rec.TaskRecord, seen: TaskReport) -> None:
+        why = seen.why or "ended"
+        if why == Why.DONE:
+            self._sound.pop(key[0], None)
+            self._sound[key[0]] = None
+            if len(self._sound) > 500:
+                del self._sound[next(iter(self._sound))]
+            machine.errors.clear()
+            self.ledger.exit(*key, task.attempt, Outcome(True))
+        elif why == Why.ERROR:
+            if (*key, task.attempt) not in self.ledger.exits:
+                machine.errors[key[0]] = machine.errors.get(key[0], 0) + 1
+                self._suspect(machine)
+            self.ledger.exit(*key, task.attempt, Outcome(False, f"error {machine.id}", True))
+        elif why == Why.STOPPED:
+            self.ledger.exit(*key, task.attempt, Outcome(False, task.note or "stopped"))
+        else:
+            self.ledger.exit(*key, task.attempt, Outcome(False, f"{why} {machine.id}"))
+
+    def _suspect(self, machine: Machine) -> None:
+        """A machine on which several jobs fail, or jobs that complete elsewhere, is taken out of use."""
+        sound = sum(count for job, count in machine.errors.items() if job in self._sound)
+        if len(machine.errors) >= 3 or sound >= 2:
+            known = self.ledger.machine(machine.id)
+            if known is not None and known.use is not MachineUse.BAD:
+                log.info("%s fails what it starts: no more work for it", machine.id)
+                self.ledger.put_machine(machine.id, msgspec.structs.replace(known, use=MachineUse.BAD))
+
+    # Commands ------------------------------------------------------------------------------------------------
+
+    def _commands(self, machine: Machine) -> list[Command]:
+        node = self.node
+        wanted = self.picture.on_machine.get(machine.id, {})
+        commands: list[Command] = []
+        for key, task in wanted.items():
+            job = self.picture.jobs.get(key[0])
+            if job is None:
+                continue
+            seen = machine.present.get(key)
+            name = f"{key[0]}/{key[1]}"
+            stopping = task.state == TaskState.STOPPING or job.cancelled
+            # Once an attempt counts as gone it must not be started here again: its task may soon run elsewhere.
+            ending = (*key, task.attempt) in self.ledger.exits
+            if seen is not None and seen.attempt != task.attempt:
+                # An earlier attempt is still here: it goes first.
+                if seen.state is not Seen.EXITED:
+                    commands.append(Command(Op.STOP, name, seen.attempt, 0.0))
+                elif machine.trusted():
+                    commands.append(Command(Op.FORGET, name, seen.attempt))
+                    if not stopping and not ending:
+                        commands.append(Command(Op.START, name, task.attempt))
+            elif seen is None:
+                if stopping:
+                    if machine.trusted():
+                        self.ledger.exit(*key, task.attempt, Outcome(False, task.note or "stopped"))
+                elif not ending:
+                    commands.append(Command(Op.START, name, task.attempt))
+            elif seen.state is not Seen.EXITED and stopping:
+                grace = 0.0 if job.cancelled else job.spec.save_s + 1.0
+                if seen.state is not Seen.SAVING or job.cancelled:
+                    commands.append(Command(Op.STOP, name, task.attempt, grace))
+        for key, seen in machine.present.items():
+            if key in wanted:
+                continue
+            name = f"{key[0]}/{key[1]}"
+            if seen.state is not Seen.EXITED:
+                commands.append(Command(Op.STOP, name, seen.attempt, 0.0))
+            elif machine.trusted():
+                commands.append(Command(Op.FORGET, name, seen.attempt))
+        commands = commands[: BODY_BUDGET // 100]
+        if len(machine.sent) > 2 * len(commands) + 200:
+            machine.sent.clear()
+        for command in commands:
+            machine.sent[self._mark(command)] = node.now
+        return commands
+
+    @staticmethod
+    def _mark(command: Command) -> tuple[str, int, int, Op]:
+        grace = 0 if isinstance(command.grace_s, msgspec.UnsetType) else int(command.grace_s * 1000)
+        return command.task, command.attempt, grace, command.op
+
+    def work(self) -> None:
+        """Send commands straight to machines whose wanted tasks changed; look after the silent ones."""
+        if not self.membership.entitled():
+            return
+        touched, self.picture.touched = self.picture.touched, set()
+        for name in touched:
+            if self.membership.owner(name) == self.node.name:
+                if name in self.picture.on_machine or name in self.picture.machines:
+                    machine = self.machine(name)
+                    if machine.report is not None:
+                        self._judge(machine)
+                    self._direct(machine)
+                elif name in self.machines:
+                    self._direct(self.machines[name])
+
+    def _direct(self, machine: Machine) -> None:
+        node = self.node
+        report = machine.report
+        if report is None or machine.direct or machine.lost or machine.answered_at is None:
+            return
+        if machine.heard_at is None or node.now - machine.heard_at > 2 * node.report:
+            return
+        before = dict(machine.sent)
+        commands = self._commands(machine)
+        fresh = [
+            command for command in commands
+            if command.op is not Op.FORGET
+            and node.now - before.get(self._mark(command), timedelta(days=-1)) > RESEND
+        ]  # fmt: skip
+        machine.sent = {**machine.sent, **before}
+        if not fresh:
+            return
+        for command in fresh:
+            machine.sent[self._mark(command)] = node.now
+        token = self.token(machine)
+        machine.direct = True
+
+        def then(status: int, body: bytes) -> None:
+            if self.machines.get(machine.id) is not machine:
+                return
+            machine.direct = False
+            if status in (200, 409):
+                try:
+                    answer: Report = wire.decode(Report, body)
+                except msgspec.DecodeError as error:
+                    log.error("%s answered a command with what is no report: %s", machine.id, error)
+                else:
+                    self._take(machine, answer)  # renews no lease: answered_at stays
+                    self.picture.touched.add(machine.id)
+                    return
+            if status != -1:
+                # It may still be on its way: from here on only reports with a higher token prove anything.
+                machine.token = max(machine.token, token + 1)
+                machine.fence = machine.token
+                log.info("%s did not answer a direct command: fencing with token %d", machine.id, machine.token)
+
+        body = wire.encode(Commands(token, fresh, report.session))
+        node.worker(report.addr, wire.COMMANDS_PATH, body, then)
+
+    # Silence -------------------------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        node = self.node
+        if not self.membership.entitled():
+            return
+        for name in {*self.picture.on_machine, *self.picture.machines}:
+            if self.membership.owner(name) == node.name:
+                self._watch_over(self.machine(name))
+        for name in [name for name in self.machines if name not in self.picture.machines]:
+            machine = self.machines[name]
+            if name not in self.picture.on_machine and (
+                machine.heard_at is None or node.now - machine.heard_at > timedelta(seconds=60)
+            ):
+                del self.machines[name]
+
+    def gone_at(self, machine: Machine) -> timedelta:
+        """When a silent machine's lease has surely ended, whoever answered it last."""
+        last = machine.owner_since + self.node.ttl * SLACK
+        if machine.answered_at is not None:
+            last = max(last, machine.answered_at)
+        return last + self.node.lease * SLACK + MARGIN
+
+    def _watch_over(self, machine: Machine) -> None:
+        node = self.node
+        heard = max(machine.heard_at or machine.owner_since, machine.owner_since)
+        known = self.ledger.machine(machine.id)
+        if known is not None and known.use is MachineUse.UP and node.now - heard > 2.5 * node.report + 2 * MARGIN:
+            log.info("%s is silent", machine.id)
+            self.ledger.put_machine(machine.id, msgspec.structs.replace(known, use=MachineUse.SILENT))
+        if node.now < self.gone_at(machine):
+            return
+        wanted = self.picture.on_machine.get(machine.id)
+        if wanted:
+            machine.lost = True
+            for key, task in wanted.items():
+                self.ledger.exit(*key, task.attempt, Outcome(False, f"lost {machine.id}"))
+
+    def returned(self, name: str) -> None:
+        """The cloud has answered that the machine is gone, with everything on it."""
+        self.ledger.gone[name] = None
+        while len(self.ledger.gone) > 1000:
+            del self.ledger.gone[next(iter(self.ledger.gone))]
+        for key, task in self.picture.on_machine.get(name, {}).items():
+            self.ledger.exit(*key, task.attempt, Outcome(False, f"returned {name}"))
+        self.ledger.put_machine(name, None)
+        self.machines.pop(name, None)
--- /dev/null
+++ b/src/gladecroft/coordination/membership.py
@@ -0,0 +1,351 @@
+"""Which controllers live, who leads, who owns which machine, and until when this one may act.
+
+A controller's member key hangs on a state lease. Any change among the member keys is followed by a new epoch
+record; every other commit is conditional on that record, so what rests on an older epoch fails. The right to act
+rests on *good renewals*: the lease was renewed, a compare-only commit showed that epoch and member key stand as
+this controller knows them, and the picture has caught up with the revision that this commit told.
+"""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+from functools import lru_cache
+from hashlib import blake2b
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.messages import Watch, Watched
+from gladecroft.coordination.node import SLACK, Node
+from gladecroft.protocol import wire
+
+log = logging.getLogger(__name__)
+
+PAGE = 400
+RETRY = timedelta(seconds=0.4)
+TOKEN_BITS = 24
+STUCK = timedelta(seconds=2.5)
+
+
+@lru_cache(maxsize=8192)
+def _weight(member: str, thing: str) -> bytes:
+    return blake2b(f"{member} {thing}".encode(), digest_size=8).digest()
+
+
+def by_hash(members: list[str], thing: str) -> str:
+    """Highest random weight: a member that goes moves only what was its own."""
+    return max(members, key=lambda member: _weight(member, thing))
+
+
+class Membership:
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.lease: int | None = None
+        self.incarnation: int | None = None
+        self.epoch_seen_at = timedelta()
+        self.changed = False
+        self._entitled_until = timedelta(days=-1)
+        self._credits: list[tuple[timedelta, int]] = []
+        self._last_renewal = timedelta(days=-1)
+        self._asking: dict[str, timedelta] = {}
+        self._page_after: str | None = None
+        self._watch_open = False
+        self._watch_next = timedelta()
+        self._mismatch_since: timedelta | None = None
+        self._known_epoch = -1
+        self._wanted_moves: dict[str, str] = {}
+        self._lag: tuple[timedelta, int] | None = None
+        self._members_list: list[str] = []
+
+    # Questions -----------------------------------------------------------------------------------------------
+
+    @property
+    def epoch(self) -> rec.EpochRecord | None:
+        return self.picture.epoch
+
+    def member(self) -> bool:
+        """In the epoch, with this incarnation."""
+        epoch = self.picture.epoch
+        return (
+            epoch is not None
+            and self.incarnation is not None
+            and (epoch.members.get(self.node.name) == self.incarnation)
+        )
+
+    def entitled(self) -> bool:
+        # The epoch may be known (by a direct read) before the changes that precede it: acting on that mix could
+        # start an attempt again whose end a former owner has committed. So the watch must have reached the epoch.
+        return (
+            self.node.loaded
+            and self.member()
+            and self.node.now < self._entitled_until
+            and self.picture.revision >= self.picture.epoch_version
+        )
+
+    def leads(self) -> bool:
+        return self.entitled() and self.picture.epoch is not None and self.picture.epoch.leader == self.node.name
+
+    def owner(self, machine: str) -> str | None:
+        epoch = self.picture.epoch
+        if epoch is None or not epoch.members:
+            return None
+        moved = epoch.moved.get(machine)
+        return moved if moved in epoch.members else by_hash(self._members_list, machine)
+
+    def home(self, job: str) -> str | None:
+        """The controller that places a job's tasks."""
+        return by_hash(self._members_list, job) if self._members_list else None
+
+    def base_token(self) -> int:
+        return 0 if self.picture.epoch is None else self.picture.epoch.number << TOKEN_BITS
+
+    def want_move(self, machine: str) -> None:
+        """This controller alone hears the machine; ask for it with the next epoch."""
+        self._wanted_moves[machine] = self.node.name
+
+    # Work ----------------------------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        node = self.node
+        if not node.loaded:
+            self._load()
+            return
+        if not self._watch_open and node.now >= self._watch_next:
+            self._watch_open = True
+            # At most a fifth of this controller's requests go into watches.
+            self._watch_next = node.now + timedelta(seconds=5 / max(1.0, node.requests.rate))
+            node.requests.take(node.now)
+            node.effect(Watch(self.picture.revision))
+        if self.lease is None:
+            self._get_lease()
+        elif self.incarnation is None:
+            self._join()
+        elif node.now - self._last_renewal >= node.ttl / 5:
+            self._renew()
+        self._see_epoch()
+        self._propose()
+
+    def _ready(self, what: str) -> bool:
+        """Whether to ask for this (again) now."""
+        if self.node.now < self._asking.get(what, timedelta(days=-1)):
+            return False
+        self._asking[what] = self.node.now + 3 * RETRY
+        return True
+
+    def _load(self) -> None:
+        """List all records, page by page; the watch then goes on from the first page's revision."""
+        if not self._ready("load"):
+            return
+
+        def then(status: int, body: bytes) -> None:
+            self._asking.pop("load", None)
+            if status != 200:
+                self._asking["load"] = self.node.now + RETRY
+                return
+            page: wire.Range = wire.decode(wire.Range, body)
+            if self._page_after is None:
+                self.picture.revision = page.revision
+            for item in page.items:
+                self.picture.apply(item.key, item.value, item.version)
+            if page.more and page.items:
+                self._page_after = page.items[-1].key
+                self._load()
+                return
+            self._page_after = None
+            self.node.loaded = True
+            log.info("picture loaded at revision %d: %d jobs, %d machines",
+                     self.picture.revision, len(self.picture.jobs), len(self.picture.machines))  # fmt: skip
+            self.tick()
+
+        if not self.node.state("GET", wire.range_path(rec.ROOT, self._page_after, PAGE), None, then, urgent=True):
+            self._asking.pop("load", None)
+
+    def watched(self, event: Watched) -> None:
+        self._watch_open = False
+        if event.gap:
+            # The picture can't be caught up by changes: read everything again from nothing.
+            log.error("the watch lost its place at revision %d: reading all records again", self.picture.revision)
+            self.picture.reset()
+            self.node.loaded = False
+            self._page_after = None
+            self._known_epoch = -1
+            self._credits.clear()
+            self._entitled_until = timedelta(days=-1)
+        elif event.reply is not None:
+            for entry in event.reply.events:
+                if entry.put is not None:
+                    self.picture.apply(entry.put, entry.value, entry.version)
+                elif entry.delete is not None:
+                    self.picture.apply(entry.delete, None, entry.version)
+            self.picture.revision = max(self.picture.revision, event.reply.revision)
+            self._use_credits()
+        elif event.failed:
+            self._watch_next = self.node.now + RETRY
+
+    def _get_lease(self) -> None:
+        if not self._ready("lease"):
+            return
+
+        def then(status: int, body: bytes) -> None:
+            self._asking["lease"] = self.node.now + RETRY
+            if status == 200:
+                self.lease = wire.decode(wire.Granted, body).lease
+                self._join()
+
+        body = wire.encode(wire.Grant(int(self.node.ttl.total_seconds() * 1000)))
+        self.node.state("POST", wire.GRANTS_PATH, body, then, urgent=True)
+
+    def _join(self) -> None:
+        """Write the member key; the lease's number is the incarnation, so no two are alike."""
+        if not self._ready("join"):
+            return
+        lease = self.lease
+        assert lease is not None
+        key = rec.MEMBERS + self.node.name
+        value = msgspec.json.encode(rec.MemberRecord(lease))
+
+        def then(status: int, body: bytes) -> None:
+            self._asking["join"] = self.node.now + RETRY
+            if status == 200:
+                revision = wire.decode(wire.TxnReply, body).revision
+                self.picture.apply(key, value, revision)
+                self.incarnation = lease
+                log.info("joined as incarnation %d", lease)
+                self._renew()
+                self._propose()
+            elif status == 400:
+                self.lease = None
+            elif status in (0, 409):
+                self._refresh(key)
+
+        txn = wire.Txn([wire.Condition(key, self.picture.version(key))], [wire.Put(key, msgspec.Raw(value), lease)])
+        self.node.state("POST", wire.COMMIT_PATH, wire.encode(txn), then, writes=1, urgent=True)
+
+    def _refresh(self, key: str) -> None:
+        """Read a key whose state is in doubt."""
+
+        def then(status: int, body: bytes) -> None:
+            if status == 200:
+                item: wire.Item = wire.decode(wire.Item, body)
+                self.picture.apply(key, item.value, item.version)
+                if key == rec.MEMBERS + self.node.name and self.incarnation is None:
+                    record: rec.MemberRecord = wire.decode(rec.MemberRecord, bytes(item.value))
+                    if record.incarnation == self.lease:
+                        self.incarnation = self.lease
+            elif status == 404:
+                self.picture.apply(key, None, wire.decode(wire.Missing, body).revision)
+
+        self.node.state("GET", wire.key_path(key), None, then, urgent=True)
+
+    def refresh_epoch(self) -> None:
+        """A commit failed on the epoch: learn the new one without waiting for the watch."""
+        if self._ready("epoch"):
+            self._refresh(rec.EPOCH)
+
+    def _renew(self) -> None:
+        if not self._ready("renew"):
+            return
+        node, sent, lease = self.node, self.node.now, self.lease
+        self._last_renewal = sent
+        results: dict[str, int] = {}
+
+        def both(what: str, ledger: int) -> None:
+            results[what] = ledger
+            if len(results) == 2 and lease == self.lease:
+                self._credits.append((sent, results["check"]))
+                self._use_credits()
+
+        def renewed(status: int, body: bytes) -> None:
+            self._asking.pop("renew", None)
+            if status == 200:
+                both("renew", 0)
+            elif status == 404 and lease == self.lease:
+                log.error("the member lease has ended: joining anew")
+                self.lease = self.incarnation = None
+                self._entitled_until = timedelta(days=-1)
+                self._credits.clear()
+            else:
+                self._last_renewal = node.now - node.ttl / 5 + RETRY
+
+        def checked(status: int, body: bytes) -> None:
+            if status == 200:
+                both("check", wire.decode(wire.TxnReply, body).revision)
+
+        assert lease is not None
+        node.state("POST", wire.renew_path(lease), b"{}", renewed, urgent=True)
+        key = rec.MEMBERS + node.name
+        txn = wire.Txn([
+            wire.Condition(rec.EPOCH, self.picture.version(rec.EPOCH)),
+            wire.Condition(key, self.picture.version(key)),
+        ])  # fmt: skip
+        node.state("POST", wire.COMMIT_PATH, wire.encode(txn), checked, urgent=True)
+
+    def _use_credits(self) -> None:
+        """A renewal counts once the picture holds all that was committed before its check."""
+        waiting = []
+        for sent, ledger in self._credits:
+            if ledger <= self.picture.revision:
+                self._entitled_until = max(self._entitled_until, sent + self.node.ttl / SLACK)
+            else:
+                waiting.append((sent, ledger))
+        self._credits = waiting[-20:]
+        if waiting and self.node.now - waiting[0][0] > STUCK and self._watch_open:
+            log.info("the watch lags behind revision %d", waiting[0][1])
+
+    def _see_epoch(self) -> None:
+        epoch = self.picture.epoch
+        number = -1 if epoch is None else epoch.number
+        if number == self._known_epoch:
+            return
+        self._known_epoch = number
+        self.epoch_seen_at = self.node.now
+        self.changed = True
+        self._members_list = sorted(epoch.members) if epoch else []
+        if epoch is not None:
+            self.node.share(len(epoch.members), epoch.leader == self.node.name)
+            self._wanted_moves.clear()
+            log.info("epoch %d: leader %s, members %s, %d machines moved",
+                     epoch.number, epoch.leader, ",".join(sorted(epoch.members)), len(epoch.moved))  # fmt: skip
+
+    def _propose(self) -> None:
+        """Write the next epoch when the member keys differ from the present one's, or machines must move."""
+        node, picture, epoch = self.node, self.picture, self.picture.epoch
+        mine = picture.members.get(node.name)
+        if self.incarnation is None or mine is None or mine.incarnation != self.incarnation:
+            self._mismatch_since = None
+            return
+        live = {name: member.incarnation for name, member in picture.members.items()}
+        moves = {m: to for m, to in self._wanted_moves.items() if self.owner(m) != to} if self.entitled() else {}
+        if epoch is not None and epoch.members == live and not moves:
+            self._mismatch_since = None
+            return
+        if self._mismatch_since is None:
+            self._mismatch_since = node.now
+        old = epoch.members if epoch is not None else {}
+        order = sorted(live, key=lambda name: (old.get(name) != live[name], live[name]))
+        wait = timedelta() if moves and epoch and epoch.members == live else order.index(node.name) * 2 * RETRY
+        if node.now - self._mismatch_since < wait or not self._ready("propose"):
+            return
+        leader = epoch.leader if epoch is not None and live.get(epoch.leader) == old.get(epoch.leader) else order[0]
+        kept = {m: to for m, to in (epoch.moved if epoch else {}).items() if live.get(to, -1) == old.get(to)}
+        kept = {m: to for m, to in {**kept, **moves}.items()
+                if m in picture.machines or m in picture.on_machine or m in moves}  # fmt: skip
+        record = rec.EpochRecord((epoch.number if epoch else 0) + 1, leader, live, dict(list(kept.items())[-200:]))
+        value = msgspec.json.encode(record)
+        key = rec.MEMBERS + node.name
+
+        def then(status: int, body: bytes) -> None:
+            self._asking["propose"] = node.now + RETRY
+            if status == 200:
+                picture.apply(rec.EPOCH, value, wire.decode(wire.TxnReply, body).revision)
+                self._see_epoch()
+            elif status in (0, 409):
+                self._refresh(rec.EPOCH)
+
+        txn = wire.Txn(
+            [wire.Condition(rec.EPOCH, picture.version(rec.EPOCH)), wire.Condition(key, picture.version(key))],
+            [wire.Put(rec.EPOCH, msgspec.Raw(value))],
+        )
+        node.state("POST", wire.COMMIT_PATH, wire.encode(txn), then, writes=1, urgent=True)
--- /dev/null
+++ b/src/gladecroft/coordination/messages.py
@@ -0,0 +1,89 @@
+"""What goes into the core (events) and what comes out of it (effects)."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from enum import Enum
+
+import msgspec
+
+from gladecroft.protocol.wire import Report, WatchReply
+
+
+class Verb(Enum):
+    SUBMIT = "submit"
+    POLL = "poll"
+    CANCEL = "cancel"
+    HEALTH = "health"
+    REPORT = "report"
+    VIEW = "view"
+
+
+class Asked(msgspec.Struct):
+    """A request that waits for an answer under its number."""
+
+    number: int
+    verb: Verb
+    body: bytes = b""
+    job: str = ""
+
+
+class Answered(msgspec.Struct):
+    """The answer to a call; status 0: unknown outcome, -1: certainly not sent."""
+
+    call: int
+    status: int
+    body: bytes = b""
+
+
+class Watched(msgspec.Struct):
+    """What a watch brought. ``gap``: the changes since are lost and everything is to be read again."""
+
+    reply: WatchReply | None = None
+    gap: bool = False
+    failed: bool = False
+
+
+Event = Asked | Answered | Watched
+
+
+class Target(Enum):
+    STATE = "state"
+    CLOUD = "cloud"
+    WORKER = "worker"
+
+
+class Reply(msgspec.Struct):
+    number: int
+    status: int
+    body: bytes = b""
+    retry_after: int | None = None
+
+
+class Call(msgspec.Struct):
+    number: int
+    target: Target
+    method: str
+    path: str
+    body: bytes | None
+    limit: timedelta
+    addr: str = ""
+
+
+class Watch(msgspec.Struct):
+    """Open a watch (one at a time) from this revision on."""
+
+    after: int
+
+
+Effect = Reply | Call | Watch
+
+
+class Clock(msgspec.Struct, frozen=True):
+    steady: timedelta
+    wall: datetime
+
+
+__all__ = [
+    "Answered", "Asked", "Call", "Clock", "Effect", "Event", "Reply", "Report", "Target", "Verb", "Watch", "Watched",
+]  # fmt: skip
--- /dev/null
+++ b/src/gladecroft/coordination/node.py
@@ -0,0 +1,158 @@
+"""What the parts of the core share: time, calls out, budgets, the picture."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+
+from gladecroft.bookkeeping.picture import Picture
+from gladecroft.coordination.messages import Call, Effect, Reply, Target
+from gladecroft.protocol.settings import DRIFT, Operator, Platform, member_ttl
+from gladecroft.protocol.wire import Refusal, encode
+
+log = logging.getLogger(__name__)
+
+Handler = Callable[[int, bytes], None]
+
+ZERO = timedelta()
+STATE_LIMIT = timedelta(seconds=1.2)
+CLOUD_LIMIT = timedelta(seconds=6)
+WORKER_LIMIT = timedelta(seconds=2)
+#: Two steady clocks may disagree by twice the drift of one.
+SLACK = 1 + 2 * DRIFT
+
+
+class Budget:
+    """A token bucket."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = max(1.0, burst)
+        self.level = self.burst
+        self._at = ZERO
+
+    def set(self, rate: float, burst: float) -> None:
+        self.rate, self.burst = rate, max(1.0, burst)
+        self.level = min(self.level, self.burst)
+
+    def look(self, now: timedelta) -> float:
+        if now > self._at:
+            self.level = min(self.burst, self.level + self.rate * (now - self._at).total_seconds())
+            self._at = now
+        return self.level
+
+    def take(self, now: timedelta, amount: float = 1.0, floor: float = 0.0) -> bool:
+        """Take if that leaves at least ``floor``; an amount over the burst waits for a full bucket."""
+        if self.look(now) < min(amount + floor, self.burst):
+            return False
+        self.level -= amount
+        return True
+
+
+class Node:
+    """One controller's shared ground. Its methods only note effects; nothing here waits."""
+
+    def __init__(self, platform: Platform, operator: Operator) -> None:
+        self.platform = platform
+        self.operator = operator
+        self.cluster = platform.cluster
+        self.name = platform.name
+        self.now = ZERO
+        self.wall = datetime.fromtimestamp(0, UTC)
+        self.ttl = member_ttl(operator, platform)
+        self.lease = timedelta(seconds=self.cluster.workers.lease_s)
+        self.report = timedelta(seconds=self.cluster.workers.report_s)
+        self.picture = Picture(self.cluster.teams, self.cluster.state.value_kb)
+        self.loaded = False
+        self.state_ok_at: timedelta | None = None
+        self.state_bad_since: timedelta | None = None
+        nodes = len(platform.peers) + 1
+        state, cloud = self.cluster.state, self.cluster.cloud
+        self.requests = Budget(state.rps / nodes, state.rps / nodes)
+        self.writes = Budget(state.write_rps / nodes, state.write_rps / nodes)
+        self.cloud_calls = Budget(cloud.rps / nodes, cloud.rps)
+        self._effects: list[Effect] = []
+        self._calls: dict[int, tuple[Handler, Target]] = {}
+        self._next_call = 0
+
+    def share(self, live: int, leader: bool) -> None:
+        """Divide the state service's and the cloud's budgets among the live controllers."""
+        state, cloud = self.cluster.state, self.cluster.cloud
+        part = 0.95 / max(1, live)
+        self.requests.set(state.rps * part, state.rps * part)
+        self.writes.set(state.write_rps * part, state.write_rps * part)
+        # Only the leader rents and lists; the others ask for the machine types now and then.
+        few = 0.05 * max(0, live - 1)
+        self.cloud_calls.set(cloud.rps * (0.9 - few if leader else 0.05), cloud.rps if leader else 1.0)
+
+    # Calls ---------------------------------------------------------------------------------------------------
+
+    def _call(
+        self,
+        target: Target,
+        method: str,
+        path: str,
+        body: bytes | None,
+        limit: timedelta,
+        then: Handler,
+        addr: str = "",
+    ) -> None:
+        self._next_call += 1
+        self._calls[self._next_call] = (then, target)
+        self._effects.append(Call(self._next_call, target, method, path, body, limit, addr))
+
+    def state(
+        self, method: str, path: str, body: bytes | None, then: Handler, *, writes: int = 0, urgent: bool = False
+    ) -> bool:
+        """Ask the state service. False if the budget does not allow it now; renewals are ``urgent``."""
+        floor = 0.0 if urgent else min(4.0, self.requests.burst / 4)
+        if self.requests.look(self.now) < 1 + floor and not urgent:
+            return False
+        if writes and not self.writes.take(self.now, writes):
+            return False
+        self.requests.level -= 1  # renewals may overdraw
+        self._call(Target.STATE, method, path, body, STATE_LIMIT, then)
+        return True
+
+    def cloud(self, method: str, path: str, body: bytes | None, then: Handler) -> bool:
+        if not self.cloud_calls.take(self.now):
+            return False
+        self._call(Target.CLOUD, method, path, body, CLOUD_LIMIT, then)
+        return True
+
+    def worker(self, addr: str, path: str, body: bytes, then: Handler) -> None:
+        self._call(Target.WORKER, "POST", path, body, WORKER_LIMIT, then, addr)
+
+    def answered(self, call: int, status: int, body: bytes) -> None:
+        known = self._calls.pop(call, None)
+        if known is None:
+            return
+        then, target = known
+        if target is Target.STATE:
+            if status in (200, 400, 404, 409, 410):
+                self.state_ok_at, self.state_bad_since = self.now, None
+            elif status != 429 and self.state_bad_since is None:
+                self.state_bad_since = self.now
+        then(status, body)
+
+    def state_down(self) -> bool:
+        """The state service has not served this controller for a while."""
+        if self.state_ok_at is None:
+            return True
+        return self.state_bad_since is not None and self.now - self.state_bad_since > timedelta(seconds=1)
+
+    # Answers -------------------------------------------------------------------------------------------------
+
+    def reply(self, number: int, status: int, body: bytes = b"", retry_after: int | None = None) -> None:
+        self._effects.append(Reply(number, status, body, retry_after))
+
+    def refuse(self, number: int, status: int, why: str, retry_after: int | None = None) -> None:
+        self.reply(number, status, encode(Refusal(why)), retry_after)
+
+    def effect(self, effect: Effect) -> None:
+        self._effects.append(effect)
+
+    def take_effects(self) -> list[Effect]:
+        effects, self._effects = self._effects, []
+        return effects
--- /dev/null
+++ b/src/gladecroft/coordination/placement.py
@@ -0,0 +1,190 @@
+"""The two cooperating placers, after CoSpot (Iqbal et al., SoCC '22), as pure functions over slots.
+
+The high-priority placer ranks machines and offers its top N; the low-priority side picks among the offers the one
+that costs it the fewest evictions. Low-priority work is placed by the low-priority placer, which keeps away from
+machines with high-priority work where it can.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+TINY = 1e-6
+
+
+class Need(msgspec.Struct, frozen=True):
+    """What one task takes, and whom it may push away."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: str
+    rank: int
+    team: str
+    guaranteed: bool
+
+
+class Resident(msgspec.Struct, eq=False):
+    """A task that is placed on a machine. ``stopping``: it has been told to go."""
+
+    job: str
+    number: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    rank: int
+    team: str
+    guaranteed: bool
+    placed: int
+    stopping: bool = False
+
+
+class Slot(msgspec.Struct, eq=False):
+    """A machine as the placers see it. ``mine``: it is in this controller's part."""
+
+    machine: str
+    zone: str
+    spot: bool
+    mine: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    images: set[str]
+    residents: list[Resident]
+    free_cpus: float = 0.0
+    free_gpus: float = 0.0
+    free_memory: float = 0.0
+    high_cpus: float = 0.0
+    coming_cpus: float = 0.0
+    coming_gpus: float = 0.0
+    coming_memory: float = 0.0
+
+    def count(self, line: int) -> None:
+        """Work out what is free, what stopping tasks will free, and the core use of high-priority work."""
+        self.free_cpus, self.free_gpus, self.free_memory = self.cpus, self.gpus, self.memory_gb
+        self.high_cpus = self.coming_cpus = self.coming_gpus = self.coming_memory = 0.0
+        for task in self.residents:
+            self.free_cpus -= task.cpus
+            self.free_gpus -= task.gpus
+            self.free_memory -= task.memory_gb
+            if task.rank <= line:
+                self.high_cpus += task.cpus
+            if task.stopping:
+                self.coming_cpus += task.cpus
+                self.coming_gpus += task.gpus
+                self.coming_memory += task.memory_gb
+
+    def fits(self, need: Need) -> bool:
+        return (
+            need.cpus <= self.free_cpus + TINY
+            and need.gpus <= self.free_gpus + TINY
+            and need.memory_gb <= self.free_memory + TINY
+        )
+
+    def will_fit(self, need: Need) -> bool:
+        return (
+            need.cpus <= self.free_cpus + self.coming_cpus + TINY
+            and need.gpus <= self.free_gpus + self.coming_gpus + TINY
+            and need.memory_gb <= self.free_memory + self.coming_memory + TINY
+        )
+
+    def take(self, need: Need, line: int) -> None:
+        self.free_cpus -= need.cpus
+        self.free_gpus -= need.gpus
+        self.free_memory -= need.memory_gb
+        if need.rank <= line:
+            self.high_cpus += need.cpus
+        self.images.add(need.image)
+
+
+class Offer(msgspec.Struct):
+    slot: Slot
+    victims: list[Resident]
+
+
+def may_evict(need: Need, victim: Resident) -> bool:
+    """PROTOCOL's preemption rules; work within its team's guarantee is never evicted."""
+    if victim.guaranteed or victim.stopping:
+        return False
+    return need.rank < victim.rank or (need.guaranteed and victim.team != need.team)
+
+
+def victims_on(slot: Slot, need: Need) -> list[Resident] | None:
+    """The tasks to evict so that the need fits, oldest-placed first; None if it can't be made to fit."""
+    cpus = slot.free_cpus + slot.coming_cpus
+    gpus = slot.free_gpus + slot.coming_gpus
+    memory = slot.free_memory + slot.coming_memory
+    chosen: list[Resident] = []
+    for task in sorted(slot.residents, key=lambda task: task.placed):
+        if need.cpus <= cpus + TINY and need.gpus <= gpus + TINY and need.memory_gb <= memory + TINY:
+            break
+        if may_evict(need, task):
+            chosen.append(task)
+            cpus += task.cpus
+            gpus += task.gpus
+            memory += task.memory_gb
+    if need.cpus <= cpus + TINY and need.gpus <= gpus + TINY and need.memory_gb <= memory + TINY:
+        return chosen
+    return None
+
+
+class HighPlacer:
+    """Ranks machines by the core use of high-priority work, busiest first, and offers the top N.
+
+    With the Spot Avoiding Filter machines that need no eviction rank first. Its own part comes before the others'.
+    """
+
+    def __init__(self, top: int, avoid_evictions: bool) -> None:
+        self.top = top
+        self.avoid_evictions = avoid_evictions
+
+    def offers(self, need: Need, slots: list[Slot]) -> list[Offer]:
+        offers: list[Offer] = []
+        for slot in slots:
+            if slot.fits(need):
+                offers.append(Offer(slot, []))
+        if not offers or not self.avoid_evictions:
+            for slot in slots:
+                if not slot.fits(need):
+                    victims = victims_on(slot, need)
+                    if victims:
+                        offers.append(Offer(slot, victims))
+        offers.sort(
+            key=lambda offer: (
+                self.avoid_evictions and bool(offer.victims),
+                not offer.slot.mine,
+                -offer.slot.high_cpus,
+                offer.slot.machine,
+            )
+        )
+        return offers[: self.top]
+
+
+class LowSide:
+    """Answers the high-priority placer's offers, and places low-priority work itself."""
+
+    def choose(self, need: Need, offers: list[Offer]) -> Offer | None:
+        """The offer with the fewest evictions; among equals a cached image, then the high placer's order."""
+        if not offers:
+            return None
+        return min(offers, key=lambda offer: (len(offer.victims), need.image not in offer.slot.images))
+
+    def place(self, need: Need, slots: list[Slot]) -> Offer | None:
+        """A machine without high-priority work if there is one; cached images and full machines first."""
+        fitting = [slot for slot in slots if slot.fits(need)]
+        if fitting:
+            best = min(
+                fitting,
+                key=lambda slot: (
+                    not slot.mine,
+                    slot.high_cpus > TINY,
+                    need.image not in slot.images,
+                    slot.free_cpus,
+                    slot.machine,
+                ),
+            )
+            return Offer(best, [])
+        if not need.guaranteed:
+            return None
+        chances = [Offer(slot, victims) for slot in slots if (victims := victims_on(slot, need))]
+        return min(chances, key=lambda offer: (len(offer.victims), offer.slot.machine), default=None)
--- /dev/null
+++ b/src/gladecroft/coordination/placers.py
@@ -0,0 +1,310 @@
+"""Runs the two placers over the picture and works their choices into transactions."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
+from gladecroft.coordination.keeper import Keeper
+from gladecroft.coordination.ledger import Ledger
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.placement import HighPlacer, LowSide, Need, Offer, Resident, Slot
+from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, MachineType
+
+log = logging.getLogger(__name__)
+
+MOST_PER_ROUND = 400
+BACK_OFF_MOST = 64.0
+
+
+class Placers:
+    def __init__(self, node: Node, membership: Membership, keeper: Keeper, ledger: Ledger) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.keeper = keeper
+        self.ledger = ledger
+        self.types: dict[str, MachineType] = {}
+        self.line = PRIORITY_RANK[node.operator.priority_line]
+        self.high = HighPlacer(node.operator.offer_top, node.operator.spot_avoiding)
+        self.low = LowSide()
+        self.waits: dict[str, str] = {}
+        self._retry: dict[tuple[str, int, int], timedelta] = {}
+        self._images: dict[str, dict[str, None]] = {}
+        self._placed_on: dict[str, float] = {}
+        ledger.composers.append(self.drain)
+        ledger.composers.append(self.place)
+
+    # What a job allows ---------------------------------------------------------------------------------------
+
+    def fits(self, spec: JobSpec) -> str | None | bool:
+        """None if some machine type takes a task; why not; False if the types are not known yet."""
+        if not self.types:
+            return False
+        for kind in self.types.values():
+            if self._type_allowed(spec, kind) and (spec.zone is None or spec.zone in kind.zones):
+                return None
+        return "a task fits no allowed machine type"
+
+    @staticmethod
+    def _type_allowed(spec: JobSpec, kind: MachineType) -> bool:
+        return (
+            (spec.types is None or kind.name in spec.types)
+            and spec.cpus <= kind.cpus
+            and spec.gpus <= kind.gpus
+            and spec.memory_gb <= kind.memory_gb
+        )
+
+    def allowed(self, spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
+        kind = self.types.get(type_name)
+        return (
+            kind is not None
+            and self._type_allowed(spec, kind)
+            and (spec.zone is None or spec.zone == zone)
+            and (spec.spot or not spot)
+        )
+
+    def order(self, jobs: list[Job], guaranteed: set[str]) -> list[Job]:
+        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, job.record.accepted_ms, job.id))
+
+    def zones_used(self, job: Job, change: Change | None = None) -> dict[str, int]:
+        zones: dict[str, int] = {}
+        for number, task in job.placed():
+            now = task if change is None else change.task(job, number)
+            machine = self.picture.machines.get(now.machine) or self.picture.machines.get(task.machine)
+            if now.machine or task.machine:
+                zone = machine.zone if machine is not None else "?"
+                zones[zone] = zones.get(zone, 0) + 1
+        return zones
+
+    # Draining ------------------------------------------------------------------------------------------------
+
+    def drain(self, change: Change) -> None:
+        """Stop what runs on our machines that are about to go or are taken out of use."""
+        for name, record in self.picture.machines.items():
+            if record.use not in (MachineUse.LEAVING, MachineUse.BAD):
+                continue
+            if self.membership.owner(name) != self.node.name:
+                continue
+            why = "notice" if record.use is MachineUse.LEAVING else "bad machine"
+            for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
+                job = self.picture.jobs[job_name]
+                if task.state is TaskState.ACTIVE and not job.cancelled:
+                    self._stop(change, job, number, f"{why} {name}")
+
+    def _stop(self, change: Change, job: Job, number: int, note: str) -> bool:
+        task = change.task(job, number)
+        if task.state is not TaskState.ACTIVE:
+            return False
+        if not change.room(0 if change.has_chunk(job, number) else 1, 0):
+            return False
+        after = TaskRecord(TaskState.STOPPING, task.attempt, task.machine, task.failures, note[:24], task.placed_s)
+        change.set_task(job, number, after)
+        change.notes.append(f"{job.id}/{number}#{task.attempt} on {task.machine} is to stop: {note}")
+        return True
+
+    # Placing -------------------------------------------------------------------------------------------------
+
+    def slots(self, guaranteed: set[str]) -> dict[str, Slot]:
+        """The machines that may be offered: in use and, in our own part, heard in this epoch."""
+        slots: dict[str, Slot] = {}
+        for name, record in self.picture.machines.items():
+            kind = self.types.get(record.type)
+            if kind is None or record.use is not MachineUse.UP or name in self.ledger.machine_puts:
+                continue
+            mine = self.membership.owner(name) == self.node.name
+            images = self._images.setdefault(name, {})
+            if mine:
+                machine = self.keeper.machines.get(name)
+                # A taker-over offers a machine only after its report.
+                if machine is None or machine.report is None or not machine.trusted():
+                    continue
+                images.update(machine.images)
+            residents = [
+                self._resident(self.picture.jobs[job_name], number, task, guaranteed)
+                for (job_name, number), task in self.picture.on_machine.get(name, {}).items()
+            ]
+            slot = Slot(
+                name, record.zone, record.spot, mine, kind.cpus, kind.gpus, kind.memory_gb, set(images), residents
+            )
+            slot.count(self.line)
+            slots[name] = slot
+        for name in [name for name in self._images if name not in self.picture.machines]:
+            del self._images[name]
+        return slots
+
+    def _resident(self, job: Job, number: int, task: TaskRecord, guaranteed: set[str]) -> Resident:
+        spec = job.spec
+        stopping = task.state is TaskState.STOPPING or job.cancelled
+        return Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team,
+                        job.id in guaranteed, task.placed_s, stopping)  # fmt: skip
+
+    def place(self, change: Change) -> None:
+        node = self.node
+        me = node.name
+        mine = [job for job in self.picture.jobs.values() if job.queued_count and self.membership.home(job.id) == me]
+        self.waits = {name: why for name, why in self.waits.items() if name in self.picture.jobs}
+        if not mine:
+            return
+        guaranteed = self.picture.guaranteed()
+        slots = self.slots(guaranteed)
+        left = MOST_PER_ROUND
+        for job in self.order(mine, guaranteed):
+            if left <= 0:
+                break
+            left -= self._place_job(change, job, job.id in guaranteed, slots, left)
+
+    def _place_job(self, change: Change, job: Job, inside: bool, slots: dict[str, Slot], most: int) -> int:
+        spec = job.spec
+        room = min(change.team_room(job), most)
+        if room <= 0:
+            self.waits[job.id] = "the team's limit is used up"
+            return 0
+        zones = self.zones_used(job)
+        cap = spec.zone_cap()
+        need = Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside)
+        usable = [
+            slot for slot in slots.values()
+            if self.allowed(spec, self.picture.machines[slot.machine].type, slot.zone, slot.spot)
+        ]  # fmt: skip
+        if spec.one_zone:
+            usable = self._one_zone(usable, zones, need, job)
+        placed = evicted = 0
+        self.waits.pop(job.id, None)
+        for number in job.queued_tasks():
+            if placed >= room:
+                if placed < job.queued_count:
+                    self.waits[job.id] = "the team's limit is used up"
+                break
+            before = change.task(job, number)
+            if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
+                continue
+            there = [slot for slot in usable if zones.get(slot.zone, 0) < cap]
+            if before.failures:
+                there = [slot for slot in there if not before.note.endswith(slot.machine)] or there
+            offer = self._choose(need, there)
+            if offer is None:
+                self.waits[job.id] = "no machine has room" if there else "no allowed machine is up"
+                break
+            slot = offer.slot
+            if offer.victims:
+                evicted += self._evict(change, job, need, offer)
+                self.waits[job.id] = "waiting for evicted work to stop"
+                continue
+            if not slot.fits(need):
+                self.waits[job.id] = "waiting for evicted work to stop"
+                self._claim(slot, need)
+                continue
+            if not change.room(0 if change.has_chunk(job, number) else 1, 0 if change.has_team(spec.team) else 1, 1):
+                self.waits[job.id] = "about to be placed"
+                break
+            key = rec.machine_key(slot.machine)
+            change.require(key)
+            if not slot.mine and key not in change.puts:
+                # Another part's room is taken only by a write that changes the machine's record.
+                if not change.room(1, 0):
+                    break
+                change.put(key, self.picture.machines[slot.machine])
+            attempt = before.attempt + 1
+            now_s = int(node_seconds(self.node))
+            change.set_task(
+                job, number, TaskRecord(TaskState.ACTIVE, attempt, slot.machine, before.failures, "", now_s)
+            )
+            change.notes.append(f"{job.id}/{number}#{attempt} goes to {slot.machine}")
+            slot.take(need, self.line)
+            slot.residents.append(
+                Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team, inside, now_s)
+            )
+            self._images.setdefault(slot.machine, {})[spec.image] = None
+            zones[slot.zone] = zones.get(slot.zone, 0) + 1
+            placed += 1
+        if evicted:
+            # Recorded once per job and round.
+            log.info("%s evicts %d tasks", job.id, evicted)
+        return placed
+
+    def _choose(self, need: Need, slots: list[Slot]) -> Offer | None:
+        if need.rank <= self.line:
+            fitting = any(slot.fits(need) for slot in slots)
+            if not fitting:
+                for slot in slots:
+                    if slot.will_fit(need):
+                        return Offer(slot, [])
+            return self.low.choose(need, self.high.offers(need, slots))
+        offer = self.low.place(need, slots)
+        if offer is not None and offer.victims:
+            for slot in slots:
+                if slot.will_fit(need):
+                    return Offer(slot, [])
+        return offer
+
+    @staticmethod
+    def _claim(slot: Slot, need: Need) -> None:
+        """Set room that is being freed aside, so that it is not counted on twice in this round."""
+        slot.coming_cpus -= max(0.0, need.cpus - max(0.0, slot.free_cpus))
+        slot.coming_gpus -= max(0.0, need.gpus - max(0.0, slot.free_gpus))
+        slot.coming_memory -= max(0.0, need.memory_gb - max(0.0, slot.free_memory))
+        slot.free_cpus = max(0.0, slot.free_cpus - need.cpus)
+        slot.free_gpus = max(0.0, slot.free_gpus - need.gpus)
+        slot.free_memory = max(0.0, slot.free_memory - need.memory_gb)
+
+    def _evict(self, change: Change, job: Job, need: Need, offer: Offer) -> int:
+        count = 0
+        slot = offer.slot
+        for victim in offer.victims:
+            other = self.picture.jobs.get(victim.job)
+            if other is not None and self._stop(change, other, victim.number, f"evicted for {job.id}"):
+                victim.stopping = True
+                slot.coming_cpus += victim.cpus
+                slot.coming_gpus += victim.gpus
+                slot.coming_memory += victim.memory_gb
+                count += 1
+        self._claim(slot, need)
+        return count
+
+    def _one_zone(self, slots: list[Slot], zones: dict[str, int], need: Need, job: Job) -> list[Slot]:
+        """All tasks go to one zone: where some are already, else where most fit."""
+        if zones:
+            zone = next(iter(zones))
+            return [slot for slot in slots if slot.zone == zone]
+        room: dict[str, float] = {}
+        for slot in slots:
+            room[slot.zone] = room.get(slot.zone, 0.0) + max(0.0, slot.free_cpus)
+        if not room:
+            return []
+        best = max(sorted(room), key=lambda zone: room[zone])
+        return [slot for slot in slots if slot.zone == best]
+
+    def _due(self, job: str, number: int, task: TaskRecord) -> bool:
+        """Tasks that have failed wait longer each time."""
+        if not task.failures:
+            return True
+        key = (job, number, task.attempt)
+        due = self._retry.get(key)
+        if due is None:
+            if len(self._retry) > 20_000:
+                self._retry.clear()
+            wait = timedelta(seconds=min(BACK_OFF_MOST, 2.0 ** (task.failures - 1)))
+            due = self._retry[key] = self.node.now + wait
+        return self.node.now >= due
+
+    def reason(self, job: Job) -> str:
+        """Why a job waits, or why some of its tasks last stopped."""
+        parts = []
+        if job.queued_count:
+            parts.append(self.waits.get(job.id, "waiting to be placed"))
+            notes: dict[str, int] = {}
+            for chunk in job.chunks.values():
+                for task in chunk:
+                    if task.note and task.state is TaskState.QUEUED:
+                        notes[task.note] = notes.get(task.note, 0) + 1
+            parts += [f"{note} ({count})" for note, count in sorted(notes.items(), key=lambda item: -item[1])[:3]]
+        return "; ".join(parts)
+
+
+def node_seconds(node: Node) -> float:
+    return node.wall.timestamp()
--- /dev/null
+++ b/src/gladecroft/protocol/settings.py
@@ -0,0 +1,189 @@
+"""The platform's settings file (TOML) and the operators' own settings (Java-style properties)."""
+
+from __future__ import annotations
+
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from javaproperties import InvalidUEscapeError, loads
+from msgspec import Meta
+
+from gladecroft.protocol.wire import Priority
+
+Positive = Annotated[float, Meta(gt=0.0)]
+NotNegative = Annotated[float, Meta(ge=0.0)]
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+
+#: Steady clocks may disagree by this share of a span.
+DRIFT = 0.0005
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text names the file and the field."""
+
+
+class Sibling(msgspec.Struct, rename={"name": "label", "zone": "site"}):
+    name: Name
+    peer_addr: str
+    zone: str = ""
+
+
+class Outside(msgspec.Struct):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct):
+    name: Name
+    cpus: NotNegative
+    cpus_max: NotNegative
+    gpus: NotNegative = 0.0
+    gpus_max: NotNegative = 0.0
+
+
+class Objective(msgspec.Struct, rename={"job_class": "class"}):
+    kind: str
+    within_s: float = 0.0
+    share: float = 0.0
+    job_class: str = ""
+
+
+class Workers(msgspec.Struct):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+    gang_wait_s: NotNegative = 0.0
+    gang_peer_s: NotNegative = 0.0
+
+
+class State(msgspec.Struct):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class Cloud(msgspec.Struct):
+    rps: Positive
+    list_lag_s: NotNegative
+
+
+class Resources(
+    msgspec.Struct, rename={"cpu_share": "core_share", "memory_mb": "ram_mb", "max_connections": "fd_limit"}
+):
+    cpu_share: Positive = 1.0
+    memory_mb: Positive = 256.0
+    max_connections: Annotated[int, Meta(ge=32)] = 512
+
+
+class Cluster(msgspec.Struct, rename={"limits": "resources", "clock_off_ms": "time_bound_ms"}):
+    zones: list[str]
+    teams: list[Team]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    clock_off_ms: NotNegative = 0.0
+    limits: Resources = msgspec.field(default_factory=Resources)
+    objectives: list[Objective] = []
+
+
+class Platform(
+    msgspec.Struct,
+    rename={
+        "name": "label",
+        "zone": "site",
+        "listen": "bind",
+        "peer_listen": "peer_bind",
+        "peers": "siblings",
+        "services": "outside",
+        "cluster": "settings",
+    },
+):
+    """What the platform hands to every controller."""
+
+    name: Name
+    listen: str
+    services: Outside
+    cluster: Cluster
+    peer_listen: str = ""
+    zone: str = ""
+    peers: list[Sibling] = []
+
+    @property
+    def lease(self) -> timedelta:
+        return timedelta(seconds=self.cluster.workers.lease_s)
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True, rename=lambda name: name.replace("_", ".")):
+    """The operators' own settings. In the properties file the words of a key are joined by dots."""
+
+    priority_line: Priority = Priority.HIGH
+    offer_top: Annotated[int, Meta(ge=1, le=64)] = 4
+    spot_avoiding: bool = True
+    member_ttl: Annotated[float, Meta(ge=1.0, le=60.0)] = 6.0
+    machine_idle: Annotated[float, Meta(ge=0.0, le=3600.0)] = 25.0
+    machine_reserve: Annotated[float, Meta(ge=0.0, le=10.0)] = 0.1
+
+
+def split_addr(addr: str, where: str = "address") -> tuple[str, int]:
+    host, colon, port = addr.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"{where}: expected HOST:PORT, got {addr!r}")
+    return host, int(port)
+
+
+def load_platform(path: str | Path) -> Platform:
+    try:
+        table = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+    try:
+        platform = msgspec.convert(table, Platform)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    for where, addr in (
+        ("bind", platform.listen),
+        ("outside.cloud", platform.services.cloud),
+        ("outside.state", platform.services.state),
+        *(((("peer_bind", platform.peer_listen),)) if platform.peer_listen else ()),
+        *((f"siblings.{peer.name}.peer_addr", peer.peer_addr) for peer in platform.peers),
+    ):
+        split_addr(addr, f"{path}: {where}")
+    names = [team.name for team in platform.cluster.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: settings.teams: a name stands twice")
+    workers = platform.cluster.workers
+    if workers.lease_s >= workers.cancel_s:
+        raise SettingsError(f"{path}: settings.workers: lease_s must be below cancel_s")
+    return platform
+
+
+def load_operator(path: str | Path | None) -> Operator:
+    """Read the operators' properties; without a file every setting has its default."""
+    if path is None:
+        return Operator()
+    try:
+        table = loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (UnicodeDecodeError, InvalidUEscapeError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+    known = {field.encode_name for field in msgspec.structs.fields(Operator)}
+    for key in table:
+        if key not in known:
+            raise SettingsError(f"{path}: {key}: unknown setting (known: {', '.join(sorted(known))})")
+    try:
+        return msgspec.convert(table, Operator, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
+
+
+def member_ttl(operator: Operator, platform: Platform) -> timedelta:
+    """The member lease, kept well under what a cancellation leaves after a machine's lease."""
+    workers = platform.cluster.workers
+    return timedelta(seconds=min(operator.member_ttl, (workers.cancel_s - workers.lease_s) / 2.5))
--- /dev/null
+++ b/src/gladecroft/transport/server.py
@@ -0,0 +1,145 @@
+"""An HTTP/1.1 server on anyio and h11."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from http import HTTPStatus
+
+import anyio
+import anyio.abc
+import h11
+import msgspec
+
+log = logging.getLogger(__name__)
+
+IDLE_LIMIT = timedelta(seconds=120)
+BODY_LIMIT = timedelta(seconds=10)
+
+
+class Request(msgspec.Struct):
+    method: str
+    path: str
+    body: bytes
+
+
+class Response(msgspec.Struct):
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class BodyTooLarge(Exception):
+    """The request's body is over the limit."""
+
+
+class Server:
+    """Serves one listening address; more than ``max_connections`` at once are closed as they come."""
+
+    def __init__(self, handler: Handler, max_connections: int, max_body: int) -> None:
+        self._handler = handler
+        self._max_connections = max_connections
+        self._max_body = max_body
+        self.open = 0
+
+    async def serve(
+        self, host: str, port: int, *, task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=256) as listener:
+            task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
+            await listener.serve(self._connection)
+
+    async def _connection(self, stream: anyio.abc.SocketStream) -> None:
+        if self.open >= self._max_connections:
+            log.debug("connection refused: %d are open", self.open)
+            await stream.aclose()
+            return
+        self.open += 1
+        try:
+            async with stream:
+                await self._requests(stream)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError, TimeoutError):
+            pass
+        except h11.ProtocolError as error:
+            log.debug("connection ended: %s", error)
+        finally:
+            self.open -= 1
+
+    async def _requests(self, stream: anyio.abc.SocketStream) -> None:
+        conn = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                with anyio.fail_after(IDLE_LIMIT.total_seconds()):
+                    request = await _event(conn, stream)
+                if not isinstance(request, h11.Request):
+                    return
+                with anyio.fail_after(BODY_LIMIT.total_seconds()):
+                    body = await self._body(conn, stream, request)
+            except BodyTooLarge:
+                response = _plain(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+                await _send(conn, stream, response, close=True)
+                return
+            except h11.RemoteProtocolError as error:
+                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    await _send(conn, stream, _plain(error.error_status_hint, "malformed request"), close=True)
+                return
+            response = await self._handler(
+                Request(request.method.decode("ascii"), request.target.decode("latin-1"), body)
+            )
+            await _send(conn, stream, response, close=False)
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    async def _body(self, conn: h11.Connection, stream: anyio.abc.SocketStream, request: h11.Request) -> bytes:
+        for name, value in request.headers:
+            if name == b"content-length" and int(value) > self._max_body:
+                raise BodyTooLarge
+        if conn.they_are_waiting_for_100_continue:
+            await stream.send(conn.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await _event(conn, stream)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._max_body:
+                    raise BodyTooLarge
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise anyio.EndOfStream
+
+
+def _plain(status: int, text: str) -> Response:
+    return Response(status, msgspec.json.encode({"error": text}))
+
+
+async def _event(conn: h11.Connection, stream: anyio.abc.SocketStream) -> h11.Event | type[h11.PAUSED]:
+    while True:
+        event = conn.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            data = await stream.receive(65536)
+        except anyio.EndOfStream:
+            data = b""
+        conn.receive_data(data)
+
+
+async def _send(conn: h11.Connection, stream: anyio.abc.SocketStream, response: Response, *, close: bool) -> None:
+    headers = [("Content-Length", str(len(response.body))), *response.headers]
+    if response.body:
+        headers.append(("Content-Type", "application/json"))
+    if close:
+        headers.append(("Connection", "close"))
+    data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
+    if response.body:
+        data += conn.send(h11.Data(data=response.body)) or b""
+    data += conn.send(h11.EndOfMessage()) or b""
+    await stream.send(data)
