--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any
 
 from gladecroft.coordination.fleet import Fleet
@@ -15,6 +16,8 @@
 from gladecroft.protocol.settings import Operator, Platform
 from gladecroft.protocol.wire import encode
 
+log = logging.getLogger(__name__)
+
 
 class Core:
     def __init__(self, platform: Platform, operator: Operator) -> None:
@@ -32,12 +35,13 @@
         node = self.node
         node.now, node.wall = clock.steady, clock.wall
         for event in events:
-            if isinstance(event, Answered):
-                node.answered(event.call, event.status, event.body)
-            elif isinstance(event, Watched):
-                self.membership.watched(event)
-            else:
-                self._asked(event)
+            try:
+                self._take(event)
+            except Exception:
+                # One message that trips a fault must not end the controller: what matters is in the state service.
+                log.exception("fault while handling %s", type(event).__name__)
+                if isinstance(event, Asked):
+                    node.refuse(event.number, 500, "internal fault")
         self.membership.tick()
         if self.membership.changed:
             self.membership.changed = False
@@ -51,6 +55,14 @@
         self.keeper.work()
         return node.take_effects()
 
+    def _take(self, event: Event) -> None:
+        if isinstance(event, Answered):
+            self.node.answered(event.call, event.status, event.body)
+        elif isinstance(event, Watched):
+            self.membership.watched(event)
+        else:
+            self._asked(event)
+
     def _asked(self, asked: Asked) -> None:
         if asked.verb is Verb.REPORT:
             self.keeper.reported(asked)
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -195,12 +195,15 @@
                     log.info("%s has not come up: returning it", name)
                     doomed.append(name)
         for name in list(self.coming):
-            if name in self.picture.machines or name not in self.listed and now - self.coming[name].since > timedelta(
-                seconds=30 + 4 * self.node.cluster.cloud.list_lag_s
+            if (
+                name in self.picture.machines
+                or name not in self.listed
+                and now - self.coming[name].since > timedelta(seconds=30 + 4 * self.node.cluster.cloud.list_lag_s)
             ):
                 del self.coming[name]
         for name, record in self.picture.machines.items():
-            if record.use is MachineUse.SILENT and self._long_silent(name) or record.use in (MachineUse.BAD, MachineUse.LEAVING) and not self.picture.on_machine.get(name):
+            drained = record.use in (MachineUse.BAD, MachineUse.LEAVING) and name not in self.picture.on_machine
+            if drained or (record.use is MachineUse.SILENT and self._long_silent(name)):
                 doomed.append(name)
             elif record.use is MachineUse.RETURNING:
                 # Somebody may have placed on it just before its record changed: then it stays.
@@ -244,9 +247,9 @@
         for job in self.placers.order(waiting, guaranteed):
             self._fill(job, bins, want)
         self._reserve(bins, want)
-        for kind, count in want.items():
+        for wanted, count in want.items():
             for start in range(0, count, RENT_MOST):
-                self._rent(kind, min(RENT_MOST, count - start))
+                self._rent(wanted, min(RENT_MOST, count - start))
         if not waiting:
             self._give_back(now)
         else:
--- a/src/gladecroft/protocol/wire.py
+++ b/src/gladecroft/protocol/wire.py
@@ -17,7 +17,7 @@
 JOB_ID = re.compile(r"wk-[0-9]{1,40}\Z")
 
 Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
-Count = Annotated[int, Meta(ge=0, lt=2**64)]
+Count = Annotated[int, Meta(ge=0)]
 
 
 class Kind(StrEnum):
--- a/src/gladecroft/transport/client.py
+++ b/src/gladecroft/transport/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-import socket
+import select
 from collections import deque
 from datetime import timedelta
 
@@ -57,8 +57,8 @@
     ) -> Answer:
         target = self._targets.get(addr)
         if target is None:
-            self._trim()
-            target = self._targets[addr] = _Target(self._per_target)
+            await self._trim()
+            target = self._targets.setdefault(addr, _Target(self._per_target))
         sent = False
         with anyio.move_on_after(limit.total_seconds()):
             async with target.limit:
@@ -98,25 +98,27 @@
         except (OSError, TimeoutError):
             return None
 
-    def _trim(self) -> None:
+    async def _trim(self) -> None:
+        """Close what is kept for addresses not in use (machines come and go)."""
         if len(self._targets) < MAX_KEPT_TARGETS:
             return
+        stale: list[_Link] = []
         for addr, target in list(self._targets.items()):
             if target.limit.borrowed_tokens == 0:
-                for link in target.idle:
-                    link.stream.extra(anyio.abc.SocketAttribute.raw_socket).close()
+                stale += target.idle
                 del self._targets[addr]
+        for link in stale:
+            await anyio.aclose_forcefully(link.stream)
 
 
 def _still_open(link: _Link) -> bool:
+    # The stream reads only when asked to, so the end of the stream, or data nobody asked for, waits in the kernel.
     raw = link.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    try:
-        raw.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        pass
-    return False  # the end of the stream, or data nobody asked for: no use either way
+    if raw.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return not poll.poll(0)
 
 
 async def _exchange(link: _Link, addr: tuple[str, int], method: str, path: str, body: bytes | None) -> Answer:
--- a/src/gladecroft/transport/server.py
+++ b/src/gladecroft/transport/server.py
@@ -120,7 +120,10 @@
     return Response(status, msgspec.json.encode({"error": text}))
 
 
-async def _event(conn: h11.Connection, stream: anyio.abc.SocketStream) -> h11.Event | type[h11.PAUSED]:
+_Event = h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]
+
+
+async def _event(conn: h11.Connection, stream: anyio.abc.SocketStream) -> _Event:
     while True:
         event = conn.next_event()
         if event is not h11.NEED_DATA:
