--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -199,13 +199,13 @@
 
     def _forget_job(self, name: str) -> None:
         job = self.jobs.pop(name, None)
-        self._orphans.pop(name, None)
         if job is None:
             return
         for number, task in job.placed():
             self._lift(name, number, task.machine)
-        for index in job.chunks:
-            self._versions.pop(rec.chunk_key(name, index), None)
+        if job.chunks:
+            # They go in the same transaction or, if there are too many, in later ones.
+            self._orphans[name] = {index: (chunk, job.versions[index]) for index, chunk in job.chunks.items()}
 
     def _take_chunk(self, name: str, index: int, chunk: list[rec.TaskRecord] | None, version: int) -> None:
         job = self.jobs.get(name)
@@ -213,7 +213,10 @@
             if chunk is not None:
                 self._orphans.setdefault(name, {})[index] = (chunk, version)
             else:
-                self._orphans.get(name, {}).pop(index, None)
+                left = self._orphans.get(name, {})
+                left.pop(index, None)
+                if not left:
+                    self._orphans.pop(name, None)
             return
         if chunk is not None and len(chunk) != job.chunk_length(index):
             raise ValueError("a chunk has the wrong length")
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -26,6 +26,9 @@
 
 MARGIN = timedelta(seconds=0.5)
 RESEND = timedelta(seconds=1.5)
+#: How long a machine may take to find a new owner.
+SETTLED = timedelta(seconds=6)
+MOVE_LIMIT = timedelta(seconds=1)
 BOUNCE_APART = timedelta(seconds=3)
 BOUNCE_WINDOW = timedelta(seconds=20)
 BODY_BUDGET = 48_000
@@ -68,6 +71,8 @@
         self.ledger = ledger
         self.machines: dict[str, Machine] = {}
         self._bounced: dict[str, timedelta] = {}
+        self._owners: dict[str, tuple[str, timedelta]] = {}
+        self._moving: dict[str, tuple[Asked, timedelta]] = {}
         #: Jobs of which an attempt has completed: their failures point at the machine.
         self._sound: dict[str, None] = {}
 
@@ -78,7 +83,13 @@
         for name in list(self.machines):
             if not self.membership.member() or self.membership.owner(name) != self.node.name:
                 del self.machines[name]
-        self._bounced.clear()
+        owners = {name: self.membership.owner(name) or "" for name in self.picture.machines}
+        for name, owner in owners.items():
+            if self._owners.get(name, ("",))[0] != owner:
+                self._bounced.pop(name, None)
+                self._owners[name] = (owner, self.node.now)
+        for name in [name for name in self._owners if name not in owners]:
+            del self._owners[name]
         self.picture.touched.update(self.picture.on_machine, self.picture.machines)
 
     def machine(self, name: str) -> Machine:
@@ -106,8 +117,10 @@
             return
         owner = self.membership.owner(report.machine)
         if owner != node.name:
-            self._bounce(report.machine)
-            node.reply(asked.number, 421, wire.encode(Steward(owner)))
+            if self._bounce(report.machine):
+                self._moving[report.machine] = (asked, node.now + MOVE_LIMIT)
+            else:
+                node.reply(asked.number, 421, wire.encode(Steward(owner)))
             return
         machine = self.machine(report.machine)
         if report.token > self.token(machine):
@@ -122,15 +135,37 @@
         node.reply(asked.number, 200, wire.encode(Commands(self.token(machine), commands)))
         self.picture.touched.discard(machine.id)
 
-    def _bounce(self, name: str) -> None:
-        """A machine that keeps coming here though it is another's can't reach its owner: ask to have it moved."""
+    def _bounce(self, name: str) -> bool:
+        """Whether to ask for another's machine that reports here, because it can't reach its owner.
+
+        A known machine leaves an owner that it has had for a while only when that one does not answer. Right after
+        a change of owner it may be on its way, so then only a second report some time later tells.
+        """
         now = self.node.now
+        since = self._owners.get(name, ("", self.membership.epoch_seen_at))[1]
+        if now - since > SETTLED and name in self.picture.machines:
+            log.info("%s can't reach its owner %s: moving it here", name, self.membership.owner(name))
+            self.membership.want_move(name)
+            return True
         first = self._bounced.get(name)
         if first is None or now - first > BOUNCE_WINDOW:
             self._bounced[name] = now
         elif now - first >= BOUNCE_APART:
-            log.info("%s can't reach its owner %s: moving it here", name, self.membership.owner(name))
+            log.info("%s keeps coming here, not to %s: moving it here", name, self.membership.owner(name))
             self.membership.want_move(name)
+            return True
+        return False
+
+    def _answer_moving(self) -> None:
+        """Answer the reports of machines that were asked for: they are ours now, or their owner is named."""
+        for name, (asked, until) in list(self._moving.items()):
+            owner = self.membership.owner(name)
+            if owner == self.node.name or not self.membership.entitled():
+                del self._moving[name]
+                self.reported(asked)
+            elif self.node.now >= until:
+                del self._moving[name]
+                self.node.reply(asked.number, 421, wire.encode(Steward(owner)))
 
     def _take(self, machine: Machine, report: Report) -> bool:
         """Take in a report if it is the newest."""
@@ -263,6 +298,7 @@
 
     def work(self) -> None:
         """Send commands straight to machines whose wanted tasks changed; look after the silent ones."""
+        self._answer_moving()
         if not self.membership.entitled():
             return
         touched, self.picture.touched = self.picture.touched, set()
@@ -285,9 +321,10 @@
             return
         before = dict(machine.sent)
         commands = self._commands(machine)
+        starting = {command.task for command in commands if command.op is Op.START}
         fresh = [
             command for command in commands
-            if command.op is not Op.FORGET
+            if (command.op is not Op.FORGET or command.task in starting)
             and node.now - before.get(self._mark(command), timedelta(days=-1)) > RESEND
         ]  # fmt: skip
         machine.sent = {**machine.sent, **before}
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -337,7 +337,7 @@
         key = rec.MEMBERS + node.name
 
         def then(status: int, body: bytes) -> None:
-            self._asking["propose"] = node.now + RETRY
+            self._asking["propose"] = node.now + RETRY / 4
             if status == 200:
                 picture.apply(rec.EPOCH, value, wire.decode(wire.TxnReply, body).revision)
                 self._see_epoch()
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -121,7 +121,7 @@
             if mine:
                 machine = self.keeper.machines.get(name)
                 # A taker-over offers a machine only after its report.
-                if machine is None or machine.report is None or not machine.trusted():
+                if machine is None or machine.report is None:
                     continue
                 images.update(machine.images)
             residents = [
--- /dev/null
+++ b/tests/oracle.py
@@ -0,0 +1,120 @@
+"""Checks PROTOCOL's rules as things happen."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from gladecroft.coordination.messages import Verb
+
+Json = dict[str, Any]
+Key = tuple[str, int]
+
+
+class Oracle:
+    def __init__(self, jobs: dict[str, Json], limits: dict[str, float], cancel_s: float, now: Callable[[], float]):
+        self.jobs = jobs
+        self.limits = limits
+        self.cancel_s = cancel_s
+        self.now = now
+        self.broken: list[str] = []
+        self.where: dict[Key, dict[str, tuple[str, str, bool]]] = {}
+        self.starts: list[tuple[float, Key, str, int]] = []
+        self.done: dict[str, set[int]] = {}
+        self.told: dict[str, str] = {}
+        self.accepted: set[str] = set()
+        self.submitted: set[str] = set()
+        self.cancel_wanted: set[str] = set()
+        self.cancelled_at: dict[str, float] = {}
+        self.done_at: dict[str, float] = {}
+
+    def _break(self, rule: str, text: str) -> None:
+        self.broken.append(f"{rule} at {self.now():.1f}: {text}")
+
+    # Machines
+
+    def on(self, key: Key, machine: str, attempt: int, kind: str, zone: str, spot: bool) -> None:
+        """A task has started on a machine."""
+        spec = self.jobs[key[0]]
+        self.starts.append((self.now(), key, machine, attempt))
+        others = self.where.setdefault(key, {})
+        if any(name != machine for name in others):
+            self._break("ran_twice", f"{key} starts on {machine} while on {sorted(others)}")
+        others[machine] = (kind, zone, spot)
+        self._check_quota(spec["owner"])
+        self._check_place(key[0], spec, kind, zone, spot)
+        self._check_cancelled(key)
+
+    def off(self, key: Key, machine: str) -> None:
+        self.where.get(key, {}).pop(machine, None)
+
+    def completed(self, key: Key) -> None:
+        done = self.done.setdefault(key[0], set())
+        done.add(key[1])
+        if len(done) == self.jobs[key[0]]["portions"]:
+            self.done_at.setdefault(key[0], self.now())
+
+    def _check_quota(self, team: str) -> None:
+        used = sum(
+            self.jobs[job]["cores"] * len(places)
+            for (job, _), places in self.where.items()
+            if self.jobs[job]["owner"] == team
+        )
+        if used > self.limits[team] + 1e-6:
+            self._break("quota", f"{team} uses {used} of {self.limits[team]}")
+
+    def _check_place(self, job: str, spec: Json, kind: str, zone: str, spot: bool) -> None:
+        if spec["flavors"] is not None and kind not in spec["flavors"]:
+            self._break("wrong_place", f"{job} on type {kind}")
+        if spec["district"] is not None and zone != spec["district"]:
+            self._break("wrong_place", f"{job} in zone {zone}")
+        if spot and not spec["leftovers"]:
+            self._break("wrong_place", f"{job} on a spot machine")
+        zones = [place[1] for (name, _), places in self.where.items() if name == job for place in places.values()]
+        if spec["oneZone"] and len(set(zones)) > 1:
+            self._break("wrong_place", f"{job} in zones {sorted(set(zones))}")
+        if spec["apart"] and zones.count(zone) > (spec["portions"] + 1) // 2:
+            self._break("wrong_place", f"{job} has {zones.count(zone)} tasks in {zone}")
+
+    def _check_cancelled(self, key: Key) -> None:
+        told = self.cancelled_at.get(key[0])
+        if told is not None and self.now() - told > self.cancel_s:
+            self._break("ran_cancelled", f"{key} starts")
+
+    def sweep(self) -> None:
+        """Looked at every second: nothing of a cancelled job may be left after its time."""
+        for key, places in self.where.items():
+            told = self.cancelled_at.get(key[0])
+            if places and told is not None and self.now() - told > self.cancel_s:
+                self._break("ran_cancelled", f"{key} is still on {sorted(places)}")
+
+    # Users
+
+    def submit_sent(self, job: str) -> None:
+        self.submitted.add(job)
+
+    def cancel_asked(self, job: str) -> None:
+        self.cancel_wanted.add(job)
+
+    def answered(self, job: str, verb: Verb, status: int, body: bytes) -> None:
+        if status in (400, 404, 422) and job in self.accepted:
+            self._break("forgotten", f"{verb.value} of {job} answered with {status}")
+        if status not in (200, 201):
+            return
+        if job not in self.submitted:
+            self._break("invented", f"{job} was never submitted")
+            return
+        self.accepted.add(job)
+        state = msgspec.json.decode(body)["status"]
+        before = self.told.get(job)
+        if before in ("done", "aborted") and state != before:
+            self._break("went_back", f"{job} was {before}, is called {state}")
+        if state == "aborted" and job not in self.cancel_wanted:
+            self._break("went_back", f"{job} is called cancelled")
+        if state == "done" and len(self.done.get(job, ())) < self.jobs[job]["portions"]:
+            self._break("not_done", f"{job} is called done")
+        if state == "aborted":
+            self.cancelled_at.setdefault(job, self.now())
+        self.told[job] = state
--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,317 @@
+"""Reads a scenario (see tests/scenarios/README) and plays it in virtual time."""
+
+from __future__ import annotations
+
+import shlex
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from gladecroft.protocol.settings import Operator, Platform
+from oracle import Oracle
+from standins import Cloud, Kind, StateService, User, Worker
+from world import Controller, World, seconds
+
+Json = dict[str, Any]
+Words = dict[str, str]
+
+PLATFORM: Json = {
+    "zones": ["a", "b"],
+    "teams": [],
+    "workers": {"report_s": 3.0, "lease_s": 18.0, "cancel_s": 43.0},
+    "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12},
+    "cloud": {"rps": 3.0, "list_lag_s": 4.0},
+}
+
+
+class ScenarioError(Exception):
+    pass
+
+
+def _words(parts: list[str]) -> tuple[list[str], Words]:
+    plain = [part for part in parts if "=" not in part or part in ("<=", ">=")]
+    named = dict(part.split("=", 1) for part in parts if "=" in part and part not in ("<=", ">="))
+    return plain, named
+
+
+class Scenario:
+    def __init__(self, text: str, seed: int) -> None:
+        self.world = World(seed)
+        self.jobs: dict[str, Json] = {}
+        self.users: dict[str, User] = {}
+        self.limits: dict[str, float] = {}
+        self.operator = Operator()
+        self._teams: list[Json] = []
+        self._kinds: dict[str, Kind] = {}
+        self._capacity: dict[tuple[str, str, bool], int] = {}
+        self._nodes = 3
+        self._state: Json = dict(PLATFORM["state"])
+        self._up: list[tuple[str, str, bool, int]] = []
+        self.failures: list[str] = []
+        self.evictions = 0
+        lines = [line.split("#", 1)[0].strip() for line in text.splitlines()]
+        self._lines = [(number, line) for number, line in enumerate(lines, 1) if line]
+
+    def run(self) -> Scenario:
+        setup = [(n, line) for n, line in self._lines if line.split()[0] in ("nodes", "team", "type", "set", "state")]
+        rest = [(n, line) for n, line in self._lines if (n, line) not in setup]
+        for number, line in setup:
+            self._guard(number, line, self._setup)
+        self._build()
+        for number, line in rest:
+            self._guard(number, line, self._act)
+        return self
+
+    def _guard(self, number: int, line: str, do: Any) -> None:
+        try:
+            do(shlex.split(line))
+        except (KeyError, ValueError, IndexError) as error:
+            raise ScenarioError(f"line {number}: {line!r}: {error!r}") from error
+
+    # Setup
+
+    def _setup(self, parts: list[str]) -> None:
+        plain, named = _words(parts)
+        if plain[0] == "nodes":
+            self._nodes = int(plain[1])
+        elif plain[0] == "team":
+            most = float(named["max"])
+            self._teams.append({"name": plain[1], "cpus": float(named["cpus"]), "cpus_max": most})
+            self.limits[plain[1]] = most
+        elif plain[0] == "type":
+            kind = Kind(plain[1], float(named["cpus"]), float(named["memory"]), float(named.get("price", 1)),
+                        float(named.get("spot_price", 0.4)), float(named.get("boot", 30)))  # fmt: skip
+            self._kinds[kind.name] = kind
+            for zone in named.get("zones", "a,b").split(","):
+                self._capacity[(kind.name, zone, False)] = int(named.get("count", 10))
+                self._capacity[(kind.name, zone, True)] = int(named.get("spot", 10))
+        elif plain[0] == "set":
+            table = {key: value for key, value in named.items()}
+            self.operator = msgspec.convert(table, Operator, strict=False)
+        else:
+            self._state.update({key: msgspec.json.decode(value) for key, value in named.items()})
+
+    def _build(self) -> None:
+        world = self.world
+        self.oracle = Oracle(self.jobs, self.limits, PLATFORM["workers"]["cancel_s"], world.elapsed)
+        self.state = StateService(world, self._state["rps"], self._state["write_rps"])
+        self.cloud = Cloud(world, self._kinds, self._capacity)
+        names = [f"n{index}" for index in range(self._nodes)]
+        self.controllers: list[Controller] = []
+        workers: dict[str, Any] = {}
+        for name in names:
+            table = {
+                "label": name,
+                "bind": "10.0.0.1:8080",
+                "siblings": [{"label": other, "peer_addr": "10.0.0.2:8081"} for other in names if other != name],
+                "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+                "settings": {**PLATFORM, "teams": self._teams, "state": self._state},
+            }
+            controller = Controller(world, msgspec.convert(table, Platform), self.operator)
+            controller.state, controller.cloud, controller.workers = self.state, self.cloud, workers
+            self.controllers.append(controller)
+            world.at(seconds(0.1 * len(self.controllers)), controller.start)
+        lease = PLATFORM["workers"]["lease_s"]
+
+        def new_worker(name: str, kind: Kind, zone: str, spot: bool) -> Worker:
+            worker = Worker(world, name, kind, zone, spot, self.controllers, self.oracle, self.jobs,
+                            seconds(lease), seconds(PLATFORM["workers"]["report_s"]))  # fmt: skip
+            workers[worker.addr] = worker
+            return worker
+
+        self.cloud.new_worker = new_worker
+
+        def sweep() -> None:
+            self.oracle.sweep()
+            world.later(seconds(1), sweep)
+
+        sweep()
+
+    # What happens
+
+    def _act(self, parts: list[str]) -> None:
+        verb = parts[0]
+        if verb == "up":
+            plain, named = _words(parts)
+            for _ in range(int(named.get("count", "1"))):
+                self.cloud.rent(plain[1], named.get("zone", "a"), named.get("spot") == "yes", boot=timedelta())
+        elif verb == "at":
+            offset, rest = seconds(float(parts[1])), parts[2:]
+            self.world.at(offset, lambda: self._do(rest))
+        elif verb == "run":
+            self.world.run_until(seconds(float(parts[1])))
+        elif verb == "expect":
+            self._expect(parts[1:])
+        else:
+            raise ValueError(f"unknown verb {verb}")
+
+    def _controller(self, name: str) -> Controller:
+        if name == "leader":
+            epoch = self.state.keys["g/epoch"][0]
+            name = epoch["leader"]
+        if name == "follower":
+            epoch = self.state.keys["g/epoch"][0]
+            name = next(node for node in sorted(epoch["members"]) if node != epoch["leader"])
+        return next(controller for controller in self.controllers if controller.name == name)
+
+    def _worker(self, name: str) -> Worker:
+        if name == "busiest":
+            return max(self.cloud.machines.values(), key=lambda worker: (len(worker.tasks), worker.name))
+        return self.cloud.machines[f"m-{int(name):06d}"]
+
+    def _do(self, parts: list[str]) -> None:
+        plain, named = _words(parts)
+        verb = plain[0]
+        span = seconds(float(named.get("for", "0")))
+        if verb == "submit":
+            for index in range(int(named.get("times", "1"))):
+                self._submit(plain[1] if index == 0 else f"{plain[1]}{index:03d}", named)
+        elif verb == "cancel":
+            self.users[plain[1]].cancel()
+        elif verb == "crash":
+            for name in plain[1:]:
+                for controller in self.controllers if name == "all" else [self._controller(name)]:
+                    controller.crash()
+                    self.world.later(span, controller.start)
+        elif verb == "cut":
+            node = self._controller(plain[1]).name
+            others = plain[2:]
+
+            def matches(one: str, other: str) -> bool:
+                if node not in (one, other):
+                    return False
+                peer = other if one == node else one
+                group = "workers" if peer.startswith("m-") else "users" if peer == "user" else peer
+                return group in others or "all" in others
+
+            self.world.cut(matches, named.get("mode", "lose"), span)
+        elif verb == "cut-machine":
+            name = self._worker(plain[1]).name
+            self.world.cut(lambda one, other: name in (one, other), named.get("mode", "lose"), span)
+        elif verb == "hang":
+            self._worker(plain[1]).hang(span)
+        elif verb == "die":
+            self._worker(plain[1]).die(failed=True)
+        elif verb == "sick":
+            self._worker(plain[1]).sick = True
+        elif verb == "slow":
+            self._worker(plain[1]).slow = float(named["factor"])
+        elif verb == "notice":
+            worker = self._worker(plain[1])
+            worker.notice = self.world.now + span
+            worker._changed()
+            self.world.later(span, lambda: self.cloud.remove(worker.name))
+        elif verb == "outage":
+            self.state.set_outage(True)
+            self.world.later(span, lambda: self.state.set_outage(False))
+        elif verb == "refuse":
+            node = self._controller(plain[1]).name
+            self.state.refused.add(node)
+            self.world.later(span, lambda: self.state.accept(node))
+        elif verb == "cloud-outage":
+            self.cloud.outage = True
+            self.world.later(span, lambda: setattr(self.cloud, "outage", False))
+        elif verb == "late":
+            self.state.be_late(float(named["share"]), float(named.get("lose", "0")))
+            self.world.later(span, lambda: self.state.be_late(0.0, 0.0))
+        elif verb == "forget-log":
+            self.state.kept = 0
+            self.state.first = self.state.revision + 1
+            self.state.log.clear()
+            self.world.later(span, lambda: setattr(self.state, "kept", 10_000))
+        elif verb == "never-boot":
+            self.cloud.never_boot = float(named["share"])
+            self.world.later(span, lambda: setattr(self.cloud, "never_boot", 0.0))
+        elif verb == "ask":
+            User(self.world, self.controllers, self.oracle, {"nameId": plain[1]}).poll()
+        else:
+            raise ScenarioError(f"unknown deed {verb}")
+
+    def _submit(self, name: str, named: Words) -> None:
+        kind = named.get("kind", "batch")
+        spec: Json = {
+            "nameId": name, "cohort": "c", "owner": named["team"], "shape": kind,
+            "urgency": named.get("priority", "production" if kind == "service" else "normal"),
+            "portions": int(named.get("tasks", "1")), "cores": float(named.get("cpus", "1")), "cards": 0.0,
+            "memoryGb": float(named.get("memory", "1")), "recipe": named.get("image", "i"),
+            "imageGb": float(named.get("gb", "1")), "flavors": None, "district": named.get("zone"),
+            "oneZone": named.get("one_zone") == "yes", "apart": named.get("spread") == "yes",
+            "leftovers": named.get("spot") == "yes", "expectedS": float(named.get("run", "20")),
+            "snapshotS": float(named.get("checkpoint", "0")), "stashS": float(named.get("save", "0")), "dueS": None,
+            "runS": float(named.get("run", "20")), "broken": named.get("broken") == "yes",
+        }  # fmt: skip
+        user = self.users.get(name)
+        if user is None:
+            self.jobs[name] = spec
+            user = self.users[name] = User(self.world, self.controllers, self.oracle, spec)
+        self.oracle.submit_sent(name)
+        user.submit()
+
+    # What must hold
+
+    def _expect(self, parts: list[str]) -> None:
+        plain, named = _words(parts)
+        what, ok = " ".join(parts), False
+        if plain[0] == "rules":
+            return
+        if plain[0] in self.users:
+            user = self.users[plain[0]]
+            ok = self._expect_job(plain[0], user, plain[1:], named)
+        elif plain[0] == "machines":
+            up = sum(1 for worker in self.cloud.machines.values() if worker.up)
+            ok = _compare(up, plain[1], float(plain[2]))
+            what += f" (are {up})"
+        elif plain[0] == "rentals":
+            ok = _compare(self.cloud.rentals, plain[1], float(plain[2]))
+            what += f" (were {self.cloud.rentals})"
+        elif plain[0] == "starts":
+            ok = _compare(len(self.oracle.starts), plain[1], float(plain[2]))
+            what += f" (were {len(self.oracle.starts)})"
+        elif plain[0] == "refusals":
+            ok = _compare(self.state.refusals, plain[1], float(plain[2]))
+            what += f" (were {self.state.refusals})"
+        elif plain[0] == "keys":
+            count = sum(1 for key in self.state.keys if key.startswith(plain[1]))
+            ok = _compare(count, plain[2], float(plain[3]))
+            what += f" (are {count})"
+        else:
+            raise ValueError(f"unknown expectation {plain[0]}")
+        if not ok:
+            self.failures.append(what)
+
+    def _expect_job(self, name: str, user: User, plain: list[str], named: Words) -> bool:
+        starts = [start for start in self.oracle.starts if start[1][0] == name]
+        match plain[0]:
+            case "done":
+                at = self.oracle.done_at.get(name)
+                return self.oracle.told.get(name) == "done" and (
+                    "by" not in named or (at is not None and at <= float(named["by"]))
+                )
+            case "aborted":
+                return self.oracle.told.get(name) == "aborted"
+            case "told":
+                return self.oracle.told.get(name) == plain[1]
+            case "status":
+                return any(status == int(plain[1]) for _, _, status, _ in user.answers)
+            case "starts":
+                return _compare(len(starts), plain[1], float(plain[2]))
+            case "running":
+                here = sum(1 for key, places in self.oracle.where.items() if key[0] == name and places)
+                return _compare(here, plain[1], float(plain[2]))
+            case "started":
+                return len(starts) >= self.jobs[name]["portions"] and starts[-1][0] <= float(named["by"])
+            case "reason":
+                return plain[1] in user.last_reason
+            case "machines":
+                return _compare(len({start[2] for start in starts}), plain[1], float(plain[2]))
+        raise ValueError(f"unknown expectation {plain[0]}")
+
+
+def _compare(value: float, sign: str, bound: float) -> bool:
+    return {"<=": value <= bound, ">=": value >= bound, "is": value == bound}[sign]
+
+
+def play(path: Path, seed: int) -> Scenario:
+    return Scenario(path.read_text(encoding="utf-8"), seed).run()
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,17 @@
+"""Plays every scenario file, each with two seeds."""
+
+from pathlib import Path
+
+import pytest
+
+from runner import play
+
+FILES = sorted(Path(__file__).parent.glob("scenarios/*.txt"))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_scenario(path: Path, seed: int) -> None:
+    scenario = play(path, seed)
+    assert scenario.oracle.broken == []
+    assert scenario.failures == []
