--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -132,5 +132,11 @@
     oracle.completed(("wk-1", 0))
     oracle.answered("wk-1", Verb.POLL, 200, answer("done"))
     oracle.answered("wk-1", Verb.POLL, 200, answer("running"))
-    oracle.answered("wk-1", Verb.CANCEL, 200, answer("aborted"))
-    assert rules(oracle) == ["went_back", "went_back", "went_back"]
+    assert rules(oracle) == ["went_back"]
+
+
+def test_called_cancelled_though_its_user_did_not_cancel() -> None:
+    oracle, _ = make(portions=1)
+    oracle.submit_sent("wk-1")
+    oracle.answered("wk-1", Verb.POLL, 200, answer("aborted"))
+    assert rules(oracle) == ["went_back"]
