--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -246,14 +246,11 @@
         waiting = [job for job in self.picture.jobs.values() if job.queued_count]
         for job in self.placers.order(waiting, guaranteed):
             self._fill(job, bins, want)
-        self._reserve(bins, want)
         for wanted, count in want.items():
             for start in range(0, count, RENT_MOST):
                 self._rent(wanted, min(RENT_MOST, count - start))
-        if not waiting:
-            self._give_back(now)
-        else:
-            self._idle_since = {name: at for name, at in self._idle_since.items() if name.startswith("silent ")}
+        # Machines that waiting work is about to take are not idle.
+        self._give_back(now, {bin.machine for bin in bins if bin.machine and bin.taken})
         for key in list(self._idle_since):
             name = key.removeprefix("silent ")
             record = self.picture.machines.get(name)
@@ -270,7 +267,11 @@
             cpus, gpus, memory = self.picture.used_on(name)
             bins.append(
                 _Bin(
-                    (record.type, record.zone, record.spot), kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory
+                    (record.type, record.zone, record.spot),
+                    kind.cpus - cpus,
+                    kind.gpus - gpus,
+                    kind.memory_gb - memory,
+                    name,
                 )
             )
         for coming in self.coming.values():
@@ -346,10 +347,7 @@
                         best, choice = rank, (kind.name, zone, spot)
         return choice
 
-    def _reserve(self, bins: list[_Bin], want: dict[Kind, int]) -> None:
-        """Nothing yet: room ahead of need is bought by keeping idle machines for a while."""
-
-    def _give_back(self, now: timedelta) -> None:
+    def _give_back(self, now: timedelta, needed: set[str]) -> None:
         idle_for = timedelta(seconds=self.node.operator.machine_idle)
         idle: list[tuple[float, str]] = []
         used = free = 0.0
@@ -360,7 +358,7 @@
             cpus = self.picture.used_on(name)[0]
             used += cpus
             free += kind.cpus - cpus
-            if self.picture.on_machine.get(name):
+            if self.picture.on_machine.get(name) or name in needed:
                 self._idle_since.pop(name, None)
                 continue
             since = self._idle_since.setdefault(name, now)
@@ -379,10 +377,14 @@
 
 
 class _Bin:
-    __slots__ = ("kind", "cpus", "gpus", "memory")
+    """Room on a machine; without a name on one that is yet to come."""
+
+    __slots__ = ("kind", "cpus", "gpus", "memory", "machine", "taken")
 
-    def __init__(self, kind: Kind, cpus: float, gpus: float, memory: float) -> None:
+    def __init__(self, kind: Kind, cpus: float, gpus: float, memory: float, machine: str = "") -> None:
         self.kind, self.cpus, self.gpus, self.memory = kind, cpus, gpus, memory
+        self.machine = machine
+        self.taken = False
 
     def holds(self, job: Job) -> int:
         room = job.spec.tasks
@@ -392,6 +394,7 @@
         return max(0, room)
 
     def take(self, job: Job, count: int) -> None:
+        self.taken = True
         self.cpus -= job.spec.cpus * count
         self.gpus -= job.spec.gpus * count
         self.memory -= job.spec.memory_gb * count
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -115,7 +115,7 @@
         if not self.membership.entitled():
             node.refuse(asked.number, 503, "not entitled to act", 1)
             return
-        owner = self.membership.owner(report.machine)
+        owner = self.membership.owner(report.machine, report.zone)
         if owner != node.name:
             if self._bounce(report.machine):
                 self._moving[report.machine] = (asked, node.now + MOVE_LIMIT)
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -123,7 +123,7 @@
     def _compose_finals(self, change: Change) -> None:
         me = self.node.name
         for job in list(self.picture.jobs.values()):
-            if not job.over or self.membership.home(job.id) != me:
+            if not job.over or self.membership.home(job.spec.team) != me:
                 continue
             if any(change.has_chunk(job, index * job.size) for index in job.chunks):
                 continue
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -58,6 +58,8 @@
         self._wanted_moves: dict[str, str] = {}
         self._lag: tuple[timedelta, int] | None = None
         self._members_list: list[str] = []
+        self._members_by_zone: dict[str, list[str]] = {}
+        self._zones = {peer.name: peer.zone for peer in node.platform.peers} | {node.name: node.platform.zone}
 
     # Questions -----------------------------------------------------------------------------------------------
 
@@ -87,16 +89,23 @@
     def leads(self) -> bool:
         return self.entitled() and self.picture.epoch is not None and self.picture.epoch.leader == self.node.name
 
-    def owner(self, machine: str) -> str | None:
+    def owner(self, machine: str, zone: str | None = None) -> str | None:
+        """Whose part the machine is in: a controller of its own zone if there is one, so that zones which can't
+        reach each other go on working inside. ``zone`` serves for machines without a record."""
         epoch = self.picture.epoch
         if epoch is None or not epoch.members:
             return None
         moved = epoch.moved.get(machine)
-        return moved if moved in epoch.members else by_hash(self._members_list, machine)
+        if moved in epoch.members:
+            return moved
+        known = self.picture.machines.get(machine)
+        near = self._members_by_zone.get(known.zone if known is not None else zone or "")
+        return by_hash(near or self._members_list, machine)
 
-    def home(self, job: str) -> str | None:
-        """The controller that places a job's tasks."""
-        return by_hash(self._members_list, job) if self._members_list else None
+    def home(self, team: str) -> str | None:
+        """The controller that places the tasks of a team's jobs: one for the whole team, so that its limit and the
+        order of its jobs are not fought over."""
+        return by_hash(self._members_list, team) if self._members_list else None
 
     def base_token(self) -> int:
         return 0 if self.picture.epoch is None else self.picture.epoch.number << TOKEN_BITS
@@ -303,6 +312,9 @@
         self.epoch_seen_at = self.node.now
         self.changed = True
         self._members_list = sorted(epoch.members) if epoch else []
+        self._members_by_zone = {}
+        for name in self._members_list:
+            self._members_by_zone.setdefault(self._zones.get(name) or "?", []).append(name)
         if epoch is not None:
             self.node.share(len(epoch.members), epoch.leader == self.node.name)
             self._wanted_moves.clear()
@@ -337,7 +349,7 @@
         key = rec.MEMBERS + node.name
 
         def then(status: int, body: bytes) -> None:
-            self._asking["propose"] = node.now + RETRY / 4
+            self._asking["propose"] = node.now + RETRY
             if status == 200:
                 picture.apply(rec.EPOCH, value, wire.decode(wire.TxnReply, body).revision)
                 self._see_epoch()
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -19,6 +19,7 @@
 
 MOST_PER_ROUND = 400
 BACK_OFF_MOST = 64.0
+TURN_WEIGHT = 2.0
 
 
 class Placers:
@@ -69,7 +70,16 @@
         )
 
     def order(self, jobs: list[Job], guaranteed: set[str]) -> list[Job]:
-        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, job.record.accepted_ms, job.id))
+        """Work within a guarantee first, then by priority, then by when it came and how much of it there is."""
+        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, self._turn(job), job.id))
+
+    def _turn(self, job: Job) -> float:
+        """A job's turn: its arrival, put off by the time it would keep its team's whole limit busy. Small jobs pass
+        big ones, and none is passed for ever."""
+        spec = job.spec
+        most = self.picture.limits[spec.team].cpus_max if spec.team in self.picture.limits else 0.0
+        work = spec.cpus * (spec.tasks - job.done) * spec.estimate_s
+        return job.record.accepted_ms / 1000 + TURN_WEIGHT * work / max(most, 1e-3)
 
     def zones_used(self, job: Job, change: Change | None = None) -> dict[str, int]:
         zones: dict[str, int] = {}
@@ -146,7 +156,9 @@
     def place(self, change: Change) -> None:
         node = self.node
         me = node.name
-        mine = [job for job in self.picture.jobs.values() if job.queued_count and self.membership.home(job.id) == me]
+        mine = [
+            job for job in self.picture.jobs.values() if job.queued_count and self.membership.home(job.spec.team) == me
+        ]
         self.waits = {name: why for name, why in self.waits.items() if name in self.picture.jobs}
         if not mine:
             return
