--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -25,6 +25,10 @@
 REFUSED_FOR = timedelta(seconds=15)
 PAGE = 500
 RENT_MOST = 50
+#: A kind is dear for a job if a core costs that many times as much as on the cheapest kind it allows.
+DEAR = 1.6
+#: The share of a class's patience within which its waiting work should be through.
+DEAR_AFTER = 0.6
 RETURN_MOST = 100
 
 Kind = tuple[str, str, bool]  # type, zone, spot
@@ -69,7 +73,7 @@
         self._list_busy = False
         self._list_page: dict[str, ListedMachine] = {}
         self._plan_at = timedelta(days=-1)
-        self._seen_at: dict[str, timedelta] = {}
+        self._dear_cpus = 0.0
 
     def epoch_changed(self) -> None:
         if not self.membership.member() or self.picture.epoch is None or self.picture.epoch.leader != self.node.name:
@@ -182,7 +186,6 @@
         for name, machine in self.listed.items():
             if name in self._returned:
                 continue
-            self._seen_at.setdefault(name, now)
             kind = self.placers.types.get(machine.type)
             boot = timedelta(seconds=kind.boot_s if kind else 60.0)
             if machine.state is MachineState.FAILED:
@@ -244,6 +247,7 @@
                 bins += [_Bin(booking.kind, kind.cpus, kind.gpus, kind.memory_gb) for _ in range(booking.count)]
         want: dict[Kind, int] = {}
         waiting = [job for job in self.picture.jobs.values() if job.queued_count]
+        self._dear_cpus = self._dear_room(bins)
         for job in self.placers.order(waiting, guaranteed):
             self._fill(job, bins, want)
         for wanted, count in want.items():
@@ -257,6 +261,32 @@
             if record is None or (key != name and record.use is not MachineUse.SILENT):
                 del self._idle_since[key]
 
+    def _dear_room(self, bins: list[_Bin]) -> float:
+        """How many cores may be rented dear for work that cheap machines could do.
+
+        That is what is missing to get through the work at hand within the time the aims allow, not what it would
+        take to start everything at once: by the time a machine is up, much of the running work is over.
+        """
+        needed = 0.0
+        for job in self.picture.jobs.values():
+            spec = job.spec
+            if spec.kind is wire.Kind.ARRAY and spec.spot:
+                tasks = min(job.queued_count, self._limit_room(job)) + job.occupied / 2
+                needed += tasks * spec.cpus * spec.estimate_s / (DEAR_AFTER * self.placers.patience(job))
+        room = 0.0
+        for bin in bins:
+            kind = self.placers.types[bin.kind[0]]
+            if not bin.machine:
+                room += kind.cpus
+                continue
+            held = sum(
+                self.picture.jobs[name].spec.cpus
+                for name, _ in self.picture.on_machine.get(bin.machine, {})
+                if self.picture.jobs[name].spec.kind is wire.Kind.SERVICE
+            )
+            room += kind.cpus - held
+        return needed - room
+
     def _bins(self) -> list[_Bin]:
         """What is up or coming, with its free room."""
         bins: list[_Bin] = []
@@ -330,6 +360,16 @@
         cap = spec.zone_cap()
         best: tuple[float, int, str] | None = None
         choice: Kind | None = None
+        cheapest = min(
+            (
+                self._core_price(kind, spot)
+                for kind in self.placers.types.values()
+                for zone in kind.zones
+                for spot in (True, False)
+                if self.placers.allowed(spec, kind.name, zone, spot)
+            ),
+            default=0.0,
+        )
         for kind in self.placers.types.values():
             for zone in kind.zones:
                 if zones.get(zone, 0) >= cap or (only is not None and zone != only):
@@ -339,14 +379,22 @@
                         continue
                     if self._refused.get((kind.name, zone, spot), timedelta(days=-1)) > self.node.now:
                         continue
-                    price = kind.spot_price if spot else kind.price
+                    price = self._core_price(kind, spot)
+                    if price > DEAR * cheapest and self._dear_cpus <= 0:
+                        continue
                     there = sum(1 for record in self.picture.machines.values() if record.zone == zone)
                     there += sum(1 for coming in self.coming.values() if coming.kind[1] == zone)
-                    rank = (round(price / max(kind.cpus, 1e-9), 4), there, zone)
+                    rank = (round(price, 4), there, zone)
                     if best is None or rank < best:
                         best, choice = rank, (kind.name, zone, spot)
+        if best is not None and choice is not None and best[0] > DEAR * cheapest:
+            self._dear_cpus -= self.placers.types[choice[0]].cpus
         return choice
 
+    @staticmethod
+    def _core_price(kind: MachineType, spot: bool) -> float:
+        return (kind.spot_price if spot else kind.price) / max(kind.cpus, 1e-9)
+
     def _give_back(self, now: timedelta, needed: set[str]) -> None:
         idle_for = timedelta(seconds=self.node.operator.machine_idle)
         idle: list[tuple[float, str]] = []
--- a/src/gladecroft/coordination/placement.py
+++ b/src/gladecroft/coordination/placement.py
@@ -164,13 +164,17 @@
     """Answers the high-priority placer's offers, and places low-priority work itself."""
 
     def choose(self, need: Need, offers: list[Offer]) -> Offer | None:
-        """The offer with the fewest evictions; among equals a cached image, then the high placer's order."""
+        """The offer with the fewest evictions; among equals a cheap machine, so that dear ones empty and can be
+        returned, then a cached image, then the high placer's order."""
         if not offers:
             return None
-        return min(offers, key=lambda offer: (len(offer.victims), need.image not in offer.slot.images))
+        return min(
+            offers, key=lambda offer: (len(offer.victims), not offer.slot.spot, need.image not in offer.slot.images)
+        )
 
     def place(self, need: Need, slots: list[Slot]) -> Offer | None:
-        """A machine without high-priority work if there is one; cached images and full machines first."""
+        """A machine without high-priority work if there is one; among those cheap ones, so that dear ones empty and
+        can be returned, then cached images and full machines."""
         fitting = [slot for slot in slots if slot.fits(need)]
         if fitting:
             best = min(
@@ -178,6 +182,7 @@
                 key=lambda slot: (
                     not slot.mine,
                     slot.high_cpus > TINY,
+                    not slot.spot,
                     need.image not in slot.images,
                     slot.free_cpus,
                     slot.machine,
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -19,7 +19,7 @@
 
 MOST_PER_ROUND = 400
 BACK_OFF_MOST = 64.0
-TURN_WEIGHT = 2.0
+PATIENCE = 60.0
 
 
 class Placers:
@@ -36,7 +36,7 @@
         self.waits: dict[str, str] = {}
         self._retry: dict[tuple[str, int, int], timedelta] = {}
         self._images: dict[str, dict[str, None]] = {}
-        self._placed_on: dict[str, float] = {}
+        self._patiences: dict[str, float] = {}
         ledger.composers.append(self.drain)
         ledger.composers.append(self.place)
 
@@ -70,16 +70,26 @@
         )
 
     def order(self, jobs: list[Job], guaranteed: set[str]) -> list[Job]:
-        """Work within a guarantee first, then by priority, then by when it came and how much of it there is."""
-        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, self._turn(job), job.id))
+        """Work within a guarantee first, then by priority, then by turn.
 
-    def _turn(self, job: Job) -> float:
-        """A job's turn: its arrival, put off by the time it would keep its team's whole limit busy. Small jobs pass
-        big ones, and none is passed for ever."""
-        spec = job.spec
-        most = self.picture.limits[spec.team].cpus_max if spec.team in self.picture.limits else 0.0
-        work = spec.cpus * (spec.tasks - job.done) * spec.estimate_s
-        return job.record.accepted_ms / 1000 + TURN_WEIGHT * work / max(most, 1e-3)
+        A job's turn is its arrival, put off in proportion to the work it still has waiting: the average job by its
+        class's patience. So small jobs pass big ones, begun ones are completed, and none is passed for ever.
+        """
+        work = {job.id: job.spec.cpus * job.queued_count * max(1.0, job.spec.estimate_s) for job in jobs}
+        average = max(1e-6, sum(work.values()) / max(1, len(work)))
+
+        def turn(job: Job) -> float:
+            return job.record.accepted_ms / 1000 + self.patience(job) * work[job.id] / average
+
+        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, turn(job), job.id))
+
+    def patience(self, job: Job) -> float:
+        """The shortest time that the aims give a job of this class."""
+        known = self._patiences.get(job.spec.job_class)
+        if known is None:
+            spans = [aim.within_s for aim in self.node.cluster.objectives if aim.job_class == job.spec.job_class]
+            known = self._patiences[job.spec.job_class] = min((span for span in spans if span > 0), default=PATIENCE)
+        return known
 
     def zones_used(self, job: Job, change: Change | None = None) -> dict[str, int]:
         zones: dict[str, int] = {}
--- a/src/gladecroft/protocol/settings.py
+++ b/src/gladecroft/protocol/settings.py
@@ -124,7 +124,7 @@
     offer_top: Annotated[int, Meta(ge=1, le=64)] = 4
     spot_avoiding: bool = True
     member_ttl: Annotated[float, Meta(ge=1.0, le=60.0)] = 6.0
-    machine_idle: Annotated[float, Meta(ge=0.0, le=3600.0)] = 25.0
+    machine_idle: Annotated[float, Meta(ge=0.0, le=3600.0)] = 15.0
     machine_reserve: Annotated[float, Meta(ge=0.0, le=10.0)] = 0.1
 
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,101 @@
+"""The two placers on the ordinary path, as DESIGN states them."""
+
+from gladecroft.coordination.placement import HighPlacer, LowSide, Need, Resident, Slot, may_evict, victims_on
+
+LINE = 1
+
+
+def need(cpus: float = 4, rank: int = 0, team: str = "t", guaranteed: bool = False, image: str = "i") -> Need:
+    return Need(cpus, 0, 1, image, rank, team, guaranteed)
+
+
+def resident(
+    number: int, cpus: float, rank: int, placed: int = 0, team: str = "u", guaranteed: bool = False
+) -> Resident:
+    return Resident("wk-1", number, cpus, 0, 1, rank, team, guaranteed, placed)
+
+
+def slot(name: str, *residents: Resident, mine: bool = True, spot: bool = False, images: tuple[str, ...] = ()) -> Slot:
+    made = Slot(name, "a", spot, mine, 16, 0, 64, set(images), list(residents))
+    made.count(LINE)
+    return made
+
+
+def test_machines_rank_by_core_use_of_high_priority_work_only() -> None:
+    slots = [slot("m-1"), slot("m-2", resident(0, 8, 0)), slot("m-3", resident(0, 4, 0), resident(1, 8, 3))]
+    assert [offer.slot.machine for offer in HighPlacer(4, True).offers(need(), slots)] == ["m-2", "m-3", "m-1"]
+
+
+def test_only_the_top_n_are_offered() -> None:
+    slots = [slot(f"m-{index}") for index in range(9)]
+    assert len(HighPlacer(4, True).offers(need(), slots)) == 4
+    assert len(HighPlacer(2, True).offers(need(), slots)) == 2
+
+
+def test_spot_avoiding_filter_puts_machines_without_evictions_first() -> None:
+    full = slot("m-1", resident(0, 12, 0), resident(1, 4, 3))
+    free = slot("m-2")
+    assert [offer.slot.machine for offer in HighPlacer(4, True).offers(need(), [full, free])] == ["m-2"]
+    off = HighPlacer(4, False).offers(need(), [full, free])
+    assert [offer.slot.machine for offer in off] == ["m-1", "m-2"]
+
+
+def test_the_low_side_takes_the_offer_with_the_fewest_evictions() -> None:
+    two = slot("m-1", resident(0, 10, 0), resident(1, 3, 3), resident(2, 3, 3))
+    one = slot("m-2", resident(0, 8, 0), resident(1, 8, 3))
+    offer = LowSide().choose(need(), HighPlacer(4, True).offers(need(), [two, one]))
+    assert offer is not None
+    assert (offer.slot.machine, [victim.number for victim in offer.victims]) == ("m-2", [1])
+
+
+def test_victims_are_oldest_placed_first() -> None:
+    victims = victims_on(slot("m-1", resident(0, 8, 3, placed=20), resident(1, 8, 3, placed=10)), need(8))
+    assert victims is not None and [victim.number for victim in victims] == [1]
+
+
+def test_work_within_its_guarantee_is_never_evicted() -> None:
+    assert not may_evict(need(rank=0, guaranteed=True), resident(0, 4, 3, guaranteed=True))
+    assert victims_on(slot("m-1", resident(0, 16, 3, guaranteed=True)), need()) is None
+
+
+def test_equal_priority_is_evicted_only_for_another_teams_guarantee() -> None:
+    assert not may_evict(need(rank=2), resident(0, 4, 2))
+    assert may_evict(need(rank=2, guaranteed=True), resident(0, 4, 2))
+    assert may_evict(need(rank=3, guaranteed=True), resident(0, 4, 0))
+    assert not may_evict(need(rank=2, guaranteed=True, team="u"), resident(0, 4, 2, team="u"))
+
+
+def test_higher_priority_evicts_borrowed_lower_priority() -> None:
+    assert may_evict(need(rank=0), resident(0, 4, 2))
+    assert not may_evict(need(rank=2), resident(0, 4, 0))
+
+
+def test_stopping_work_is_not_evicted_again() -> None:
+    leaving = resident(0, 16, 3)
+    leaving.stopping = True
+    full = slot("m-1", leaving)
+    assert not may_evict(need(), leaving)
+    assert not full.fits(need()) and full.will_fit(need())
+
+
+def test_low_priority_work_prefers_machines_without_high_priority_work() -> None:
+    offer = LowSide().place(need(rank=2), [slot("m-1", resident(0, 1, 0), images=("i",)), slot("m-2")])
+    assert offer is not None and offer.slot.machine == "m-2"
+
+
+def test_low_priority_work_then_prefers_cheap_machines_and_cached_images() -> None:
+    slots = [slot("m-1"), slot("m-2", spot=True), slot("m-3", spot=True, images=("i",))]
+    offer = LowSide().place(need(rank=2), slots)
+    assert offer is not None and offer.slot.machine == "m-3"
+
+
+def test_low_priority_work_evicts_only_for_a_guarantee() -> None:
+    full = slot("m-1", resident(0, 16, 2))
+    assert LowSide().place(need(rank=2), [full]) is None
+    offer = LowSide().place(need(rank=2, guaranteed=True), [full])
+    assert offer is not None and len(offer.victims) == 1
+
+
+def test_ones_own_part_comes_first() -> None:
+    slots = [slot("m-1", resident(0, 8, 0), mine=False), slot("m-2")]
+    assert HighPlacer(1, True).offers(need(), slots)[0].slot.machine == "m-2"
