--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -65,6 +65,8 @@
         self._next_booking = 0
         self._refused: dict[Kind, timedelta] = {}
         self._idle_since: dict[str, timedelta] = {}
+        self._known_since: dict[str, timedelta] = {}
+        self._silent_since: dict[str, timedelta] = {}
         self._returned: dict[str, timedelta] = {}
         self._returning: set[str] = set()
         self._types_at = timedelta(days=-1)
@@ -82,6 +84,8 @@
             self.list_complete = False
             self._bookings.clear()
             self._idle_since.clear()
+            self._known_since.clear()
+            self._silent_since.clear()
             self._returning.clear()
             self._list_busy = False
 
@@ -204,9 +208,15 @@
                 and now - self.coming[name].since > timedelta(seconds=30 + 4 * self.node.cluster.cloud.list_lag_s)
             ):
                 del self.coming[name]
+        self._known_since = {name: self._known_since.get(name, now) for name in self.picture.machines}
+        self._silent_since = {
+            name: since
+            for name, since in self._silent_since.items()
+            if name in self.picture.machines and self.picture.machines[name].use is MachineUse.SILENT
+        }
         for name, record in self.picture.machines.items():
             drained = record.use in (MachineUse.BAD, MachineUse.LEAVING) and name not in self.picture.on_machine
-            if drained or (record.use is MachineUse.SILENT and self._long_silent(name)):
+            if drained or (record.use is MachineUse.SILENT and self._presumed_dead(name)):
                 doomed.append(name)
             elif record.use is MachineUse.RETURNING:
                 # Somebody may have placed on it just before its record changed: then it stays.
@@ -216,9 +226,29 @@
                     doomed.append(name)
         self._return(doomed)
 
-    def _long_silent(self, name: str) -> bool:
-        since = self._idle_since.setdefault("silent " + name, self.node.now)
-        return self.node.now - since > self.node.lease
+    def _presumed_dead(self, name: str) -> bool:
+        """Whether to return a silent machine: the answer proves what silence alone proves only much later.
+
+        The list tells of machines that were taken; for others a short while must do. If a large part of an owner's
+        machines is silent, the fault is rather with the owner's network, and they are left alone.
+        """
+        now = self.node.now
+        since = self._silent_since.setdefault(name, now)
+        if name not in self.listed and now - self._known_since[name] > self._list_age():
+            return True
+        owner = self.membership.owner(name)
+        part = [
+            record.use is MachineUse.SILENT
+            for other, record in self.picture.machines.items()
+            if self.membership.owner(other) == owner
+        ]
+        if sum(part) * 3 <= len(part):
+            return now - since > self.node.report * 4 / 3
+        return now - since > self.node.lease
+
+    def _list_age(self) -> timedelta:
+        """A machine known for longer than this is in every list that comes in, unless it is gone."""
+        return timedelta(seconds=2 * self.node.cluster.cloud.list_lag_s) + 2 * LIST_EVERY
 
     def _return(self, names: list[str]) -> None:
         names = [name for name in names if name not in self._returning and name not in self._returned][:RETURN_MOST]
@@ -255,11 +285,8 @@
                 self._rent(wanted, min(RENT_MOST, count - start))
         # Machines that waiting work is about to take are not idle.
         self._give_back(now, {bin.machine for bin in bins if bin.machine and bin.taken})
-        for key in list(self._idle_since):
-            name = key.removeprefix("silent ")
-            record = self.picture.machines.get(name)
-            if record is None or (key != name and record.use is not MachineUse.SILENT):
-                del self._idle_since[key]
+        for name in [name for name in self._idle_since if name not in self.picture.machines]:
+            del self._idle_since[name]
 
     def _dear_room(self, bins: list[_Bin]) -> float:
         """How many cores may be rented dear for work that cheap machines could do.
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -57,6 +57,7 @@
     errors: dict[str, int] = {}
     images: dict[str, None] = {}
     lost: bool = False
+    suspect: bool = False
     empty_since: timedelta | None = None
 
     def trusted(self) -> bool:
@@ -178,7 +179,7 @@
                 log.info("%s is in session %d", machine.id, report.session)
         machine.report = report
         machine.heard_at = self.node.now
-        machine.lost = False
+        machine.lost = machine.suspect = False
         machine.present = {}
         for task in report.tasks:
             key = task_key(task.task)
@@ -333,6 +334,7 @@
         for command in fresh:
             machine.sent[self._mark(command)] = node.now
         token = self.token(machine)
+        sent_at = node.now
         machine.direct = True
 
         def then(status: int, body: bytes) -> None:
@@ -348,6 +350,9 @@
                     self._take(machine, answer)  # renews no lease: answered_at stays
                     self.picture.touched.add(machine.id)
                     return
+            if machine.heard_at is not None and machine.heard_at <= sent_at and node.now - sent_at > node.report / 2:
+                # Neither an answer nor a report since: nothing more is placed there until it is heard again.
+                machine.suspect = True
             if status != -1:
                 # It may still be on its way: from here on only reports with a higher token prove anything.
                 machine.token = max(machine.token, token + 1)
@@ -383,10 +388,8 @@
     def _watch_over(self, machine: Machine) -> None:
         node = self.node
         heard = max(machine.heard_at or machine.owner_since, machine.owner_since)
-        known = self.ledger.machine(machine.id)
-        if known is not None and known.use is MachineUse.UP and node.now - heard > 2.5 * node.report + 2 * MARGIN:
-            log.info("%s is silent", machine.id)
-            self.ledger.put_machine(machine.id, msgspec.structs.replace(known, use=MachineUse.SILENT))
+        if node.now - heard > 2.5 * node.report + 2 * MARGIN:
+            self._silent(machine)
         if node.now < self.gone_at(machine):
             return
         wanted = self.picture.on_machine.get(machine.id)
@@ -395,6 +398,12 @@
             for key, task in wanted.items():
                 self.ledger.exit(*key, task.attempt, Outcome(False, f"lost {machine.id}"))
 
+    def _silent(self, machine: Machine) -> None:
+        known = self.ledger.machine(machine.id)
+        if known is not None and known.use is MachineUse.UP:
+            log.info("%s is silent", machine.id)
+            self.ledger.put_machine(machine.id, msgspec.structs.replace(known, use=MachineUse.SILENT))
+
     def returned(self, name: str) -> None:
         """The cloud has answered that the machine is gone, with everything on it."""
         self.ledger.gone[name] = None
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -13,7 +13,7 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placement import HighPlacer, LowSide, Need, Offer, Resident, Slot
-from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, MachineType
+from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, Kind, MachineType
 
 log = logging.getLogger(__name__)
 
@@ -73,16 +73,41 @@
         """Work within a guarantee first, then by priority, then by turn.
 
         A job's turn is its arrival, put off in proportion to the work it still has waiting: the average job by its
-        class's patience. So small jobs pass big ones, begun ones are completed, and none is passed for ever.
+        class's patience. So small jobs pass big ones, begun ones are completed, and none is passed for ever. Where
+        the aim is the start, a job that has started as far as its team's limit allows can wait with the rest.
         """
         work = {job.id: job.spec.cpus * job.queued_count * max(1.0, job.spec.estimate_s) for job in jobs}
         average = max(1e-6, sum(work.values()) / max(1, len(work)))
 
         def turn(job: Job) -> float:
-            return job.record.accepted_ms / 1000 + self.patience(job) * work[job.id] / average
+            came = job.record.accepted_ms / 1000
+            if self._has_started(job):
+                return came + max(self.patience(job), self._ends_within(job) - 2 * job.spec.estimate_s)
+            return came + self.patience(job) * work[job.id] / average
 
         return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, turn(job), job.id))
 
+    def _aims(self, job: Job, kind: str) -> list[float]:
+        return [
+            aim.within_s
+            for aim in self.node.cluster.objectives
+            if aim.job_class == job.spec.job_class and aim.kind == kind and aim.within_s > 0
+        ]
+
+    def _ends_within(self, job: Job) -> float:
+        return max(self._aims(job, "finished"), default=0.0)
+
+    def _has_started(self, job: Job) -> bool:
+        """Whether the aim for this job's start is behind it: as many tasks have started as may run at once."""
+        if job.spec.kind is not Kind.ARRAY or not self._aims(job, "wait") or not job.chunks:
+            return False
+        most = job.spec.tasks
+        limit = self.picture.limits.get(job.spec.team)
+        if limit is not None and job.spec.cpus > 0:
+            most = min(most, int((limit.cpus_max + 1e-6) / job.spec.cpus))
+        begun = sum(task.attempt > 0 for chunk in job.chunks.values() for task in chunk)
+        return begun >= most
+
     def patience(self, job: Job) -> float:
         """The shortest time that the aims give a job of this class."""
         known = self._patiences.get(job.spec.job_class)
@@ -141,7 +166,7 @@
             if mine:
                 machine = self.keeper.machines.get(name)
                 # A taker-over offers a machine only after its report.
-                if machine is None or machine.report is None:
+                if machine is None or machine.report is None or machine.suspect:
                     continue
                 images.update(machine.images)
             residents = [
