--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -79,6 +79,7 @@
         if budget < min(4, node.cluster.state.txn_ops):
             return
         change = Change(self.picture, min(node.cluster.state.txn_ops, budget), MAX_BYTES)
+        node.lend()
         self._compose_exits(change)
         self._compose_machines(change)
         self._compose_finals(change)
@@ -89,13 +90,21 @@
             self._commit(change)
 
     def _compose_exits(self, change: Change) -> None:
+        # After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them.
+        me = self.node.name
+        urgent = any(
+            job.queued_count and not job.rank and self.membership.home(job.spec.team) == me
+            for job in self.picture.jobs.values()
+        )
+        reserve = change.max_ops // 2 if urgent else 0
         for (name, number, attempt), outcome in list(self.exits.items()):
             job = self.picture.jobs.get(name)
             task = None if job is None else change.task(job, number)
             if job is None or task is None or not task.machine or task.attempt != attempt:
                 del self.exits[(name, number, attempt)]
                 continue
-            if not change.room(0 if change.has_chunk(job, number) else 1, 0 if change.has_team(job.spec.team) else 1):
+            chunks = 0 if change.has_chunk(job, number) else 1
+            if not change.room(chunks + reserve, 0 if change.has_team(job.spec.team) else 1):
                 continue
             if outcome.done:
                 after = TaskRecord(TaskState.DONE, attempt, "", task.failures)
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -19,6 +19,8 @@
 STATE_LIMIT = timedelta(seconds=1.2)
 CLOUD_LIMIT = timedelta(seconds=6)
 WORKER_LIMIT = timedelta(seconds=2)
+LEND = 1.7
+LEND_AFTER = timedelta(seconds=10)
 #: Two steady clocks may disagree by twice the drift of one.
 SLACK = 1 + 2 * DRIFT
 
@@ -72,6 +74,8 @@
         self.requests = Budget(state.rps / nodes, state.rps / nodes)
         self.writes = Budget(state.write_rps / nodes, state.write_rps / nodes)
         self.cloud_calls = Budget(cloud.rps / nodes, cloud.rps)
+        self._write_share = self.writes.rate
+        self._refused_at: timedelta | None = None
         self._effects: list[Effect] = []
         self._calls: dict[int, tuple[Handler, Target]] = {}
         self._next_call = 0
@@ -81,11 +85,20 @@
         state, cloud = self.cluster.state, self.cluster.cloud
         part = 0.95 / max(1, live)
         self.requests.set(state.rps * part, state.rps * part)
-        self.writes.set(state.write_rps * part, state.write_rps * part)
+        self._write_share = state.write_rps * part
+        self.lend()
         # Only the leader rents and lists; the others ask for the machine types now and then.
         few = 0.05 * max(0, live - 1)
         self.cloud_calls.set(cloud.rps * (0.9 - few if leader else 0.05), cloud.rps if leader else 1.0)
 
+    def lend(self) -> None:
+        """Controllers are seldom busy all at once: as long as none is refused, each may use more than its share."""
+        most = 0.9 * self.cluster.state.write_rps
+        calm = self._refused_at is None or self.now - self._refused_at > LEND_AFTER
+        share = min(most, self._write_share * (LEND if calm else 1.0))
+        if share != self.writes.rate:
+            self.writes.set(share, share)
+
     # Calls ---------------------------------------------------------------------------------------------------
 
     def _call(
@@ -132,7 +145,10 @@
         if target is Target.STATE:
             if status in (200, 400, 404, 409, 410):
                 self.state_ok_at, self.state_bad_since = self.now, None
-            elif status != 429 and self.state_bad_since is None:
+            elif status == 429:
+                self._refused_at = self.now
+                self.lend()
+            elif self.state_bad_since is None:
                 self.state_bad_since = self.now
         then(status, body)
 
--- a/src/gladecroft/coordination/placement.py
+++ b/src/gladecroft/coordination/placement.py
@@ -13,7 +13,7 @@
 
 
 class Need(msgspec.Struct, frozen=True):
-    """What one task takes, and whom it may push away."""
+    """What one task takes, and whom it may push away. ``home``: the controller that places it."""
 
     cpus: float
     gpus: float
@@ -22,6 +22,7 @@
     rank: int
     team: str
     guaranteed: bool
+    home: str = ""
 
 
 class Resident(msgspec.Struct, eq=False):
@@ -40,12 +41,13 @@
 
 
 class Slot(msgspec.Struct, eq=False):
-    """A machine as the placers see it. ``mine``: it is in this controller's part."""
+    """A machine as the placers see it. ``owner``: the controller in whose part it is; ``mine``: that is this one."""
 
     machine: str
     zone: str
     spot: bool
     mine: bool
+    owner: str
     cpus: float
     gpus: float
     memory_gb: float
@@ -152,7 +154,7 @@
         offers.sort(
             key=lambda offer: (
                 self.avoid_evictions and bool(offer.victims),
-                not offer.slot.mine,
+                offer.slot.owner != need.home,
                 -offer.slot.high_cpus,
                 offer.slot.machine,
             )
@@ -180,7 +182,7 @@
             best = min(
                 fitting,
                 key=lambda slot: (
-                    not slot.mine,
+                    slot.owner != need.home,
                     slot.high_cpus > TINY,
                     not slot.spot,
                     need.image not in slot.images,
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -172,7 +172,7 @@
                     continue
                 offer = self._where_else(job, job_name in guaranteed, slots, self.picture.machines[name].zone)
                 if offer is not None and self._stop(change, job, number, f"{MOVED} {name}"):
-                    offer.slot.take(self._need(job, job_name in guaranteed), self.line)
+                    offer.slot.take(self._need(job, job_name in guaranteed, me), self.line)
                     on_the_way += 1
 
     def _where_else(self, job: Job, inside: bool, slots: dict[str, Slot], zone: str) -> Offer | None:
@@ -186,13 +186,13 @@
             and zones.get(slot.zone, 0) < cap
             and (not job.spec.one_zone or slot.zone == zone)
         ]
-        need = self._need(job, inside)
+        need = self._need(job, inside, self.node.name)
         return self.low.choose(need, self.high.offers(need, [slot for slot in usable if slot.fits(need)]))
 
     @staticmethod
-    def _need(job: Job, inside: bool) -> Need:
+    def _need(job: Job, inside: bool, home: str) -> Need:
         spec = job.spec
-        return Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside)
+        return Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside, home)
 
     def _stop(self, change: Change, job: Job, number: int, note: str) -> bool:
         task = change.task(job, number)
@@ -214,7 +214,8 @@
             kind = self.types.get(record.type)
             if kind is None or record.use is not MachineUse.UP or name in self.ledger.machine_puts:
                 continue
-            mine = self.membership.owner(name) == self.node.name
+            owner = self.membership.owner(name) or ""
+            mine = owner == self.node.name
             images = self._images.setdefault(name, {})
             if mine:
                 machine = self.keeper.machines.get(name)
@@ -227,7 +228,16 @@
                 for (job_name, number), task in self.picture.on_machine.get(name, {}).items()
             ]
             slot = Slot(
-                name, record.zone, record.spot, mine, kind.cpus, kind.gpus, kind.memory_gb, set(images), residents
+                name,
+                record.zone,
+                record.spot,
+                mine,
+                owner,
+                kind.cpus,
+                kind.gpus,
+                kind.memory_gb,
+                set(images),
+                residents,
             )
             slot.count(self.line)
             slots[name] = slot
@@ -242,43 +252,46 @@
                         job.id in guaranteed, task.placed_s, stopping)  # fmt: skip
 
     def place(self, change: Change) -> None:
-        node = self.node
-        me = node.name
-        mine = [
-            job for job in self.picture.jobs.values() if job.queued_count and self.membership.home(job.spec.team) == me
-        ]
+        """Place our waiting tasks.
+
+        The plan is made for all waiting work in one order, other homes' too, and only our part of it is carried
+        out: what others are about to take is left to them. Without this two homes took the same room, and room freed
+        by an eviction went to the next borrower, who was evicted again.
+        """
+        me = self.node.name
+        homes = {team: self.membership.home(team) for team in self.picture.limits}
+        waiting = [job for job in self.picture.jobs.values() if job.queued_count]
         self.waits = {name: why for name, why in self.waits.items() if name in self.picture.jobs}
-        if not mine:
+        if not any(homes.get(job.spec.team) == me for job in waiting):
             return
         guaranteed = self.picture.guaranteed()
         slots = self.slots(guaranteed)
-        left = MOST_PER_ROUND
-        for job in self.order(mine, guaranteed):
-            if left <= 0:
+        most = MOST_PER_ROUND
+        for job in self.order(waiting, guaranteed):
+            home = homes.get(job.spec.team) or ""
+            most -= self._place_job(change, job, job.id in guaranteed, home, slots, most)
+            if most <= 0:
                 break
-            left -= self._place_job(change, job, job.id in guaranteed, slots, left)
 
-    def _place_job(self, change: Change, job: Job, inside: bool, slots: dict[str, Slot], most: int) -> int:
+    def _place_job(self, change: Change, job: Job, inside: bool, home: str, slots: dict[str, Slot], most: int) -> int:
+        """Place one job's waiting tasks as far as they go, or only set the room aside if it is another home's job."""
         spec = job.spec
+        ours = home == self.node.name
         room = min(change.team_room(job), most)
-        if room <= 0:
-            self.waits[job.id] = "the team's limit is used up"
-            return 0
+        why = ""
         zones = self.zones_used(job)
         cap = spec.zone_cap()
-        need = self._need(job, inside)
+        need = self._need(job, inside, home)
         usable = [
             slot for slot in slots.values()
             if self.allowed(spec, self.picture.machines[slot.machine].type, slot.zone, slot.spot)
         ]  # fmt: skip
         if spec.one_zone:
             usable = self._one_zone(usable, zones, need, job)
-        placed = evicted = 0
-        self.waits.pop(job.id, None)
+        taken = evicted = 0
         for number in job.queued_tasks():
-            if placed >= room:
-                if placed < job.queued_count:
-                    self.waits[job.id] = "the team's limit is used up"
+            if taken >= room:
+                why = "the team's limit is used up"
                 break
             before = change.task(job, number)
             if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
@@ -288,44 +301,51 @@
                 there = [slot for slot in there if not before.note.endswith(slot.machine)] or there
             offer = self._choose(need, there)
             if offer is None:
-                self.waits[job.id] = "no machine has room" if there else "no allowed machine is up"
+                why = "no machine has room" if there else "no allowed machine is up"
                 break
             slot = offer.slot
+            taken += 1
+            zones[slot.zone] = zones.get(slot.zone, 0) + 1
             if offer.victims:
-                evicted += self._evict(change, job, need, offer)
-                self.waits[job.id] = "waiting for evicted work to stop"
-                continue
-            if not slot.fits(need):
-                self.waits[job.id] = "waiting for evicted work to stop"
+                evicted += self._evict(change, job, need, offer, ours)
+                why = "waiting for evicted work to stop"
+            elif not slot.fits(need):
+                why = "waiting for evicted work to stop"
                 self._claim(slot, need)
-                continue
-            if not change.room(0 if change.has_chunk(job, number) else 1, 0 if change.has_team(spec.team) else 1, 1):
-                self.waits[job.id] = "about to be placed"
-                break
-            key = rec.machine_key(slot.machine)
-            change.require(key)
-            if not slot.mine and key not in change.puts:
-                # Another part's room is taken only by a write that changes the machine's record.
-                if not change.room(1, 0):
-                    break
-                change.put(key, self.picture.machines[slot.machine])
-            attempt = before.attempt + 1
-            now_s = int(node_seconds(self.node))
-            change.set_task(
-                job, number, TaskRecord(TaskState.ACTIVE, attempt, slot.machine, before.failures, "", now_s)
-            )
-            change.notes.append(f"{job.id}/{number}#{attempt} goes to {slot.machine}")
-            slot.take(need, self.line)
-            slot.residents.append(
-                Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team, inside, now_s)
-            )
-            self._images.setdefault(slot.machine, {})[spec.image] = None
-            zones[slot.zone] = zones.get(slot.zone, 0) + 1
-            placed += 1
-        if evicted:
-            # Recorded once per job and round.
-            log.info("%s evicts %d tasks", job.id, evicted)
-        return placed
+            else:
+                if ours and not self._put(change, job, number, before, slot):
+                    ours, why = False, "about to be placed"
+                slot.take(need, self.line)
+                slot.residents.append(
+                    Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team, inside, 1 << 40)
+                )
+        if home == self.node.name:
+            if why:
+                self.waits[job.id] = why
+            else:
+                self.waits.pop(job.id, None)
+            if evicted:
+                # Recorded once per job and round.
+                log.info("%s evicts %d tasks", job.id, evicted)
+        return taken
+
+    def _put(self, change: Change, job: Job, number: int, before: TaskRecord, slot: Slot) -> bool:
+        """Work a placement into the transaction; False if it has no room."""
+        key = rec.machine_key(slot.machine)
+        # Another part's room is taken only by a write that changes the machine's record.
+        foreign = not slot.mine and key not in change.puts
+        teams = 0 if change.has_team(job.spec.team) else 1
+        if not change.room((0 if change.has_chunk(job, number) else 1) + foreign, teams, 1):
+            return False
+        change.require(key)
+        if foreign:
+            change.put(key, self.picture.machines[slot.machine])
+        attempt = before.attempt + 1
+        now_s = int(self.node.wall.timestamp())
+        change.set_task(job, number, TaskRecord(TaskState.ACTIVE, attempt, slot.machine, before.failures, "", now_s))
+        change.notes.append(f"{job.id}/{number}#{attempt} goes to {slot.machine}")
+        self._images.setdefault(slot.machine, {})[job.spec.image] = None
+        return True
 
     def _choose(self, need: Need, slots: list[Slot]) -> Offer | None:
         if need.rank <= self.line:
@@ -352,12 +372,12 @@
         slot.free_gpus = max(0.0, slot.free_gpus - need.gpus)
         slot.free_memory = max(0.0, slot.free_memory - need.memory_gb)
 
-    def _evict(self, change: Change, job: Job, need: Need, offer: Offer) -> int:
+    def _evict(self, change: Change, job: Job, need: Need, offer: Offer, ours: bool) -> int:
         count = 0
         slot = offer.slot
         for victim in offer.victims:
             other = self.picture.jobs.get(victim.job)
-            if other is not None and self._stop(change, other, victim.number, f"evicted for {job.id}"):
+            if not ours or other is not None and self._stop(change, other, victim.number, f"evicted for {job.id}"):
                 victim.stopping = True
                 slot.coming_cpus += victim.cpus
                 slot.coming_gpus += victim.gpus
@@ -404,7 +424,3 @@
                         notes[task.note] = notes.get(task.note, 0) + 1
             parts += [f"{note} ({count})" for note, count in sorted(notes.items(), key=lambda item: -item[1])[:3]]
         return "; ".join(parts)
-
-
-def node_seconds(node: Node) -> float:
-    return node.wall.timestamp()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 
 
 def need(cpus: float = 4, rank: int = 0, team: str = "t", guaranteed: bool = False, image: str = "i") -> Need:
-    return Need(cpus, 0, 1, image, rank, team, guaranteed)
+    return Need(cpus, 0, 1, image, rank, team, guaranteed, "n0")
 
 
 def resident(
@@ -16,7 +16,7 @@
 
 
 def slot(name: str, *residents: Resident, mine: bool = True, spot: bool = False, images: tuple[str, ...] = ()) -> Slot:
-    made = Slot(name, "a", spot, mine, 16, 0, 64, set(images), list(residents))
+    made = Slot(name, "a", spot, mine, "n0" if mine else "n1", 16, 0, 64, set(images), list(residents))
     made.count(LINE)
     return made
 
