Fix: a controller back from a cut trusted what it knew of its machines before

Cause, from the replayed log at 105 to 136 s: hearth-1 was cut off, dropped from epoch 4 and back in epoch 5 with a new incarnation; it saw both epochs in one batch, took its ownership for unbroken, and called the work on its machines lost though another had answered them meanwhile. Now knowledge and proofs count only if the new epoch follows the one known before, with this incarnation in both. Scenario back_from_a_cut breaks ran_twice without the fix.

--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -45,8 +45,8 @@
         self.membership.tick()
         if self.membership.changed:
             self.membership.changed = False
-            self.ledger.epoch_changed()
-            self.keeper.epoch_changed()
+            self.ledger.epoch_changed(self.membership.continuous)
+            self.keeper.epoch_changed(self.membership.continuous)
             self.fleet.epoch_changed()
         self.users.tick()
         self.keeper.tick()
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -79,8 +79,14 @@
 
     # Ownership -----------------------------------------------------------------------------------------------
 
-    def epoch_changed(self) -> None:
-        """Forget what is no longer ours; what stays ours keeps its fence."""
+    def epoch_changed(self, continuous: bool) -> None:
+        """Forget what is no longer ours; what stays ours keeps its fence.
+
+        If epochs were missed, or this controller was out meanwhile, another may have owned any of the machines and
+        have answered it: then nothing known of them counts any more.
+        """
+        if not continuous:
+            self.machines.clear()
         for name in list(self.machines):
             if not self.membership.member() or self.membership.owner(name) != self.node.name:
                 del self.machines[name]
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -51,12 +51,13 @@
         """Note that an attempt is proven gone."""
         self.exits.setdefault((job, number, attempt), outcome)
 
-    def epoch_changed(self) -> None:
-        """Drop proofs about machines that are another's now: it may have started the attempt there again."""
+    def epoch_changed(self, continuous: bool) -> None:
+        """Drop proofs about machines that are, or were meanwhile, another's: it may have started the attempt again."""
         for name, number, attempt in list(self.exits):
             job = self.picture.jobs.get(name)
             machine = "" if job is None else job.task(number).machine
-            if machine not in self.gone and self.membership.owner(machine) != self.node.name:
+            ours = continuous and self.membership.owner(machine) == self.node.name
+            if machine not in self.gone and not ours:
                 del self.exits[(name, number, attempt)]
         self.machine_puts.clear()
 
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -46,6 +46,9 @@
         self.incarnation: int | None = None
         self.epoch_seen_at = timedelta()
         self.changed = False
+        #: Whether the present epoch follows the one known before it, with this incarnation in both.
+        self.continuous = False
+        self._epoch_incarnation: int | None = None
         self._entitled_until = timedelta(days=-1)
         self._credits: list[tuple[timedelta, int]] = []
         self._last_renewal = timedelta(days=-1)
@@ -308,6 +311,10 @@
         number = -1 if epoch is None else epoch.number
         if number == self._known_epoch:
             return
+        mine = None if epoch is None else epoch.members.get(self.node.name)
+        # Changed more than once before anybody looked (the flag is still up), epochs are as good as missed.
+        self.continuous = not self.changed and number == self._known_epoch + 1 and mine == self._epoch_incarnation
+        self._epoch_incarnation = mine
         self._known_epoch = number
         self.epoch_seen_at = self.node.now
         self.changed = True
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -20,6 +20,8 @@
 MOST_PER_ROUND = 400
 BACK_OFF_MOST = 64.0
 PATIENCE = 60.0
+STARVED = 3.0
+CAN_WAIT = 100
 MOVED = "moved from"
 MOVES_AT_ONCE = 2
 
@@ -73,22 +75,29 @@
         )
 
     def order(self, jobs: list[Job], guaranteed: set[str]) -> list[Job]:
-        """Work within a guarantee first, then by priority, then by turn.
+        """Work within a guarantee first, then by priority, then by what can still be on time, little work first.
 
-        A job's turn is its arrival, put off in proportion to the work it still has waiting: the average job by its
-        class's patience. So small jobs pass big ones, begun ones are completed, and none is passed for ever. Where
-        the aim is the start, a job that has started as far as its team's limit allows can wait with the rest.
+        In an overload not all jobs can meet their aims. The most are on time if those that still can come before
+        those that can't any more, and small ones before big ones. A job that has waited for long comes first.
         """
-        work = {job.id: job.spec.cpus * job.queued_count * max(1.0, job.spec.estimate_s) for job in jobs}
-        average = max(1e-6, sum(work.values()) / max(1, len(work)))
+        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, *self._turn(job), job.id))
 
-        def turn(job: Job) -> float:
-            came = job.record.accepted_ms / 1000
-            if self._has_started(job):
-                return came + max(self.patience(job), self._ends_within(job) - 2 * job.spec.estimate_s)
-            return came + self.patience(job) * work[job.id] / average
-
-        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, turn(job), job.id))
+    def _turn(self, job: Job) -> tuple[int, float]:
+        spec = job.spec
+        age = self.node.wall.timestamp() - job.record.accepted_ms / 1000
+        work = spec.cpus * job.queued_count * max(1.0, spec.estimate_s)
+        limits = [span - spec.estimate_s for span in self._aims(job, "finished")]
+        if self._has_started(job):
+            # Its start is behind it; it can wait as long as its end is not in danger.
+            most = max(spec.cpus, self.picture.limits[spec.team].cpus_max)
+            if all(limit - age - work / most > PATIENCE for limit in limits):
+                return CAN_WAIT, work
+        else:
+            limits += self._aims(job, "wait")
+        limits = limits or [PATIENCE]
+        if age > STARVED * max(*limits, PATIENCE):
+            return 0, work
+        return sum(age >= limit for limit in limits), work
 
     def _aims(self, job: Job, kind: str) -> list[float]:
         return [
@@ -97,9 +106,6 @@
             if aim.job_class == job.spec.job_class and aim.kind == kind and aim.within_s > 0
         ]
 
-    def _ends_within(self, job: Job) -> float:
-        return max(self._aims(job, "finished"), default=0.0)
-
     def _has_started(self, job: Job) -> bool:
         """Whether the aim for this job's start is behind it: as many tasks have started as may run at once."""
         if job.spec.kind is not Kind.ARRAY or not self._aims(job, "wait") or not job.chunks:
