--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -274,7 +274,7 @@
         team = self.limits.get(spec.team)
         if team is None:
             return f"unknown team {spec.team}"
-        times = spec.tasks if spec.kind is Kind.SERVICE else 1
+        times = 1 if spec.kind is Kind.ARRAY else spec.tasks
         if spec.cpus * times > team.cpus_max + 1e-9 or spec.gpus * times > team.gpus_max + 1e-9:
             return f"needs more than the limit of team {spec.team}"
         return None
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -94,7 +94,7 @@
         # After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them.
         me = self.node.name
         urgent = any(
-            job.queued_count and not job.rank and self.membership.home(job.spec.team) == me
+            job.queued_count and not job.rank and self.membership.job_home(job.spec) == me
             for job in self.picture.jobs.values()
         )
         reserve = change.max_ops // 2 if urgent else 0
@@ -133,7 +133,7 @@
     def _compose_finals(self, change: Change) -> None:
         me = self.node.name
         for job in list(self.picture.jobs.values()):
-            if not job.over or self.membership.home(job.spec.team) != me:
+            if not job.over or self.membership.job_home(job.spec) != me:
                 continue
             if any(change.has_chunk(job, index * job.size) for index in job.chunks):
                 continue
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -19,6 +19,7 @@
 from gladecroft.coordination.messages import Watch, Watched
 from gladecroft.coordination.node import SLACK, Node
 from gladecroft.protocol import wire
+from gladecroft.protocol.wire import JobSpec
 
 log = logging.getLogger(__name__)
 
@@ -110,6 +111,12 @@
         order of its jobs are not fought over."""
         return by_hash(self._members_list, team) if self._members_list else None
 
+    def job_home(self, spec: JobSpec) -> str | None:
+        """The controller that places this job's tasks; gangs go whole to the leader."""
+        if spec.kind is wire.Kind.GANG:
+            return self.picture.epoch.leader if self.picture.epoch is not None else None
+        return self.home(spec.team)
+
     def base_token(self) -> int:
         return 0 if self.picture.epoch is None else self.picture.epoch.number << TOKEN_BITS
 
--- a/src/gladecroft/coordination/placement.py
+++ b/src/gladecroft/coordination/placement.py
@@ -38,6 +38,8 @@
     guaranteed: bool
     placed: int
     stopping: bool = False
+    #: How many tasks stop if this one is evicted: all of a gang's, else one.
+    together: int = 1
 
 
 class Slot(msgspec.Struct, eq=False):
@@ -90,6 +92,25 @@
             and need.memory_gb <= self.free_memory + self.coming_memory + TINY
         )
 
+    def free_up(self, victim: Resident) -> None:
+        """Count on a victim's room, which it is about to leave."""
+        victim.stopping = True
+        self.coming_cpus += victim.cpus
+        self.coming_gpus += victim.gpus
+        self.coming_memory += victim.memory_gb
+
+    def room(self) -> tuple[float, ...]:
+        return (
+            self.free_cpus, self.free_gpus, self.free_memory, self.high_cpus,
+            self.coming_cpus, self.coming_gpus, self.coming_memory,
+        )  # fmt: skip
+
+    def set_room(self, room: tuple[float, ...]) -> None:
+        (
+            self.free_cpus, self.free_gpus, self.free_memory, self.high_cpus,
+            self.coming_cpus, self.coming_gpus, self.coming_memory,
+        ) = room  # fmt: skip
+
     def take(self, need: Need, line: int) -> None:
         self.free_cpus -= need.cpus
         self.free_gpus -= need.gpus
@@ -103,6 +124,11 @@
     slot: Slot
     victims: list[Resident]
 
+    def evictions(self) -> int:
+        """How many tasks stop: a gang counts whole, and once."""
+        gangs = {victim.job: victim.together for victim in self.victims if victim.together > 1}
+        return sum(gangs.values()) + sum(victim.together == 1 for victim in self.victims)
+
 
 def may_evict(need: Need, victim: Resident) -> bool:
     """PROTOCOL's preemption rules; work within its team's guarantee is never evicted."""
@@ -171,7 +197,7 @@
         if not offers:
             return None
         return min(
-            offers, key=lambda offer: (len(offer.victims), not offer.slot.spot, need.image not in offer.slot.images)
+            offers, key=lambda offer: (offer.evictions(), not offer.slot.spot, need.image not in offer.slot.images)
         )
 
     def place(self, need: Need, slots: list[Slot]) -> Offer | None:
@@ -194,4 +220,4 @@
         if not need.guaranteed:
             return None
         chances = [Offer(slot, victims) for slot in slots if (victims := victims_on(slot, need))]
-        return min(chances, key=lambda offer: (len(offer.victims), offer.slot.machine), default=None)
+        return min(chances, key=lambda offer: (offer.evictions(), offer.slot.machine), default=None)
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -42,6 +42,7 @@
         self._images: dict[str, dict[str, None]] = {}
         self._patiences: dict[str, float] = {}
         ledger.composers.append(self.drain)
+        ledger.composers.append(self.mend_gangs)
         ledger.composers.append(self.place)
         ledger.composers.append(self.move)
 
@@ -156,7 +157,7 @@
         emptying = [name for name, record in self.picture.machines.items() if record.use is MachineUse.EMPTYING]
         if not emptying:
             return
-        mine = [job for job in self.picture.jobs.values() if self.membership.home(job.spec.team) == me]
+        mine = [job for job in self.picture.jobs.values() if self.membership.job_home(job.spec) == me]
         if any(job.queued_count for job in mine if job.spec.kind is Kind.SERVICE):
             return
         on_the_way = sum(
@@ -174,7 +175,7 @@
                 job = self.picture.jobs[job_name]
                 if job.spec.kind is not Kind.SERVICE or task.state is not TaskState.ACTIVE or job.cancelled:
                     continue
-                if self.membership.home(job.spec.team) != me:
+                if self.membership.job_home(job.spec) != me:
                     continue
                 offer = self._where_else(job, job_name in guaranteed, slots, self.picture.machines[name].zone)
                 if offer is not None and self._stop(change, job, number, f"{MOVED} {name}"):
@@ -255,7 +256,8 @@
         spec = job.spec
         stopping = task.state is TaskState.STOPPING or job.cancelled
         return Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team,
-                        job.id in guaranteed, task.placed_s, stopping)  # fmt: skip
+                        job.id in guaranteed, task.placed_s, stopping,
+                        job.occupied if spec.kind is Kind.GANG else 1)  # fmt: skip
 
     def place(self, change: Change) -> None:
         """Place our waiting tasks.
@@ -265,17 +267,17 @@
         by an eviction went to the next borrower, who was evicted again.
         """
         me = self.node.name
-        homes = {team: self.membership.home(team) for team in self.picture.limits}
         waiting = [job for job in self.picture.jobs.values() if job.queued_count]
         self.waits = {name: why for name, why in self.waits.items() if name in self.picture.jobs}
-        if not any(homes.get(job.spec.team) == me for job in waiting):
+        homes = {job.id: self.membership.job_home(job.spec) or "" for job in waiting}
+        if me not in homes.values():
             return
         guaranteed = self.picture.guaranteed()
         slots = self.slots(guaranteed)
         most = MOST_PER_ROUND
         for job in self.order(waiting, guaranteed):
-            home = homes.get(job.spec.team) or ""
-            most -= self._place_job(change, job, job.id in guaranteed, home, slots, most)
+            place = self._place_gang if job.spec.kind is Kind.GANG else self._place_job
+            most -= place(change, job, job.id in guaranteed, homes[job.id], slots, most)
             if most <= 0:
                 break
 
@@ -335,11 +337,101 @@
                 log.info("%s evicts %d tasks", job.id, evicted)
         return taken
 
-    def _put(self, change: Change, job: Job, number: int, before: TaskRecord, slot: Slot) -> bool:
+    def _place_gang(self, change: Change, job: Job, inside: bool, home: str, slots: dict[str, Slot], most: int) -> int:
+        """Place all of a gang's tasks in one transaction, or none; room is made for it only if all then fit."""
+        tasks = list(job.queued_tasks())
+        if len(tasks) + job.done < job.spec.tasks:
+            self.waits[job.id] = "waiting for the rest of the gang to stop"
+            return 0
+        if len(tasks) > min(change.team_room(job), most):
+            self.waits[job.id] = "the team's limit leaves no room for the whole gang"
+            return 0
+        need = self._need(job, inside, home)
+        kept = {name: slot.room() for name, slot in slots.items()}
+        offers, pending = self._gang_offers(job, need, len(tasks), list(slots.values()))
+        if len(offers) < len(tasks):
+            for name, room in kept.items():
+                slots[name].set_room(room)
+            for offer in offers:
+                for victim in offer.victims:
+                    victim.stopping = False
+            self.waits[job.id] = "no room for the whole gang"
+            return 0
+        if home != self.node.name:
+            return len(tasks)
+        if pending:
+            self.waits[job.id] = "waiting for evicted work to stop"
+            victims = [victim for offer in offers for victim in offer.victims]
+            stopped = sum(
+                self._stop_with_gang(change, self.picture.jobs[victim.job], victim.number, job.id) for victim in victims
+            )
+            if stopped:
+                log.info("%s evicts %d tasks", job.id, stopped)
+            return len(tasks)
+        chunks = len({number // job.size for number in tasks})
+        places = {offer.slot.machine for offer in offers}
+        foreign = len({offer.slot.machine for offer in offers if not offer.slot.mine})
+        # Where a transaction can't hold all the machine records, being conditional on them must do.
+        bump = change.room(chunks + foreign, 1, len(places))
+        if not bump and not change.room(chunks, 1, len(places)):
+            self.waits[job.id] = "about to be placed"
+            return len(tasks)
+        self.waits.pop(job.id, None)
+        for number, offer in zip(tasks, offers, strict=True):
+            self._put(change, job, number, change.task(job, number), offer.slot, bump)
+        return len(tasks)
+
+    def _gang_offers(self, job: Job, need: Need, count: int, slots: list[Slot]) -> tuple[list[Offer], bool]:
+        """An offer for each task, as far as they go, with their room set aside, and whether any room must be freed."""
+        zones, cap = self.zones_used(job), job.spec.zone_cap()
+        usable = [
+            slot
+            for slot in slots
+            if self.allowed(job.spec, self.picture.machines[slot.machine].type, slot.zone, slot.spot)
+        ]
+        if job.spec.one_zone:
+            usable = self._one_zone(usable, zones, need, job)
+        offers: list[Offer] = []
+        pending = False
+        while len(offers) < count:
+            offer = self._choose(need, [slot for slot in usable if zones.get(slot.zone, 0) < cap])
+            if offer is None:
+                break
+            if offer.slot.fits(need):
+                offer.slot.take(need, self.line)
+            else:
+                pending = True
+                for victim in offer.victims:
+                    offer.slot.free_up(victim)
+                self._claim(offer.slot, need)
+            zones[offer.slot.zone] = zones.get(offer.slot.zone, 0) + 1
+            offers.append(offer)
+        return offers, pending
+
+    def mend_gangs(self, change: Change) -> None:
+        """A gang that has lost a task is stopped and queued whole."""
+        for job in self.picture.jobs.values():
+            if job.spec.kind is not Kind.GANG or job.cancelled or not job.queued_count or not job.occupied:
+                continue
+            if self.membership.job_home(job.spec) == self.node.name:
+                for number, task in list(job.placed()):
+                    if task.state is TaskState.ACTIVE:
+                        self._stop(change, job, number, "gang incomplete")
+
+    def _stop_with_gang(self, change: Change, job: Job, number: int, cause: str) -> bool:
+        """Evict a task, and all of its gang with it."""
+        if job.spec.kind is not Kind.GANG:
+            return self._stop(change, job, number, f"evicted for {cause}")
+        stopped = False
+        for other, _ in list(job.placed()):
+            stopped |= self._stop(change, job, other, f"evicted for {cause}")
+        return stopped
+
+    def _put(self, change: Change, job: Job, number: int, before: TaskRecord, slot: Slot, bump: bool = True) -> bool:
         """Work a placement into the transaction; False if it has no room."""
         key = rec.machine_key(slot.machine)
         # Another part's room is taken only by a write that changes the machine's record.
-        foreign = not slot.mine and key not in change.puts
+        foreign = bump and not slot.mine and key not in change.puts
         teams = 0 if change.has_team(job.spec.team) else 1
         if not change.room((0 if change.has_chunk(job, number) else 1) + foreign, teams, 1):
             return False
@@ -383,11 +475,8 @@
         slot = offer.slot
         for victim in offer.victims:
             other = self.picture.jobs.get(victim.job)
-            if not ours or other is not None and self._stop(change, other, victim.number, f"evicted for {job.id}"):
-                victim.stopping = True
-                slot.coming_cpus += victim.cpus
-                slot.coming_gpus += victim.gpus
-                slot.coming_memory += victim.memory_gb
+            if not ours or other is not None and self._stop_with_gang(change, other, victim.number, job.id):
+                slot.free_up(victim)
                 count += 1
         self._claim(slot, need)
         return count
--- a/src/gladecroft/protocol/wire.py
+++ b/src/gladecroft/protocol/wire.py
@@ -23,6 +23,8 @@
 class Kind(StrEnum):
     ARRAY = "batch"
     SERVICE = "service"
+    #: All tasks run at the same time or not at all. The deployments' protocol does not offer it to users yet.
+    GANG = "group"
 
 
 class Priority(StrEnum):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -540,7 +540,7 @@
         self.oracle.on(key, self.name, task.attempt, self.kind.name, self.zone, self.spot)
         if self.sick or spec.get("broken"):
             self.world.later(seconds(0.5), lambda: self._end(key, task, "error", False))
-        elif spec["shape"] == "batch":
+        elif spec["shape"] != "service":
             self.world.later(seconds(spec["runS"] * self.slow), lambda: self._end(key, task, "done", False))
 
     def _end(self, key: tuple[str, int], task: Task, cause: str, saved: bool) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -99,3 +99,13 @@
 def test_ones_own_part_comes_first() -> None:
     slots = [slot("m-1", resident(0, 8, 0), mine=False), slot("m-2")]
     assert HighPlacer(1, True).offers(need(), slots)[0].slot.machine == "m-2"
+
+
+def test_a_gang_counts_whole() -> None:
+    member = resident(1, 8, 3)
+    member.together = 5
+    gang, two = slot("m-1", resident(0, 8, 0), member), slot("m-2", resident(2, 8, 3), resident(3, 8, 3))
+    offer = LowSide().choose(need(12), HighPlacer(4, True).offers(need(12), [gang, two]))
+    assert offer is not None and offer.slot.machine == "m-2"
+    offer = LowSide().choose(need(8), HighPlacer(4, True).offers(need(8), [gang]))
+    assert offer is not None and offer.evictions() == 5
