--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -308,7 +308,9 @@
                         name, msgspec.structs.replace(self.picture.machines[name], use=MachineUse.UP)
                     )
             return
-        if emptying or not self.node.operator.machine_consolidate or now - self._calm_since < CALM:
+        if not self.node.operator.machine_consolidate or now - self._calm_since < CALM:
+            return
+        if len(emptying) > len(self.picture.machines) // 12:
             return
         best: tuple[float, str] | None = None
         for name, record in self.picture.machines.items():
@@ -318,7 +320,7 @@
             residents = [self.picture.jobs[job] for job, _ in self.picture.on_machine[name]]
             services = sum(job.spec.kind is wire.Kind.SERVICE for job in residents)
             used = sum(job.spec.cpus for job in residents)
-            if used > MOSTLY_FREE * kind.cpus or not self._fits_elsewhere(name, record.zone, residents):
+            if (services and used > MOSTLY_FREE * kind.cpus) or not self._fits_elsewhere(name, record.zone, residents):
                 continue
             gain = (kind.spot_price if record.spot else kind.price) / (1 + services)
             if best is None or (gain, name) > best:
@@ -337,10 +339,12 @@
     def _fits_elsewhere(self, name: str, zone: str, residents: list[Job]) -> bool:
         """Whether the machine's work fits into the others, with room to spare for what comes."""
         bins = [bin for bin in self._bins() if bin.machine and bin.machine != name]
-        spare = sum(max(0.0, bin.cpus) for bin in bins if not bin.kind[2])
         services = [job for job in residents if job.spec.kind is wire.Kind.SERVICE]
-        held = sum(job.spec.cpus for job in services)
-        if spare - held < self.node.operator.machine_reserve * self._used_cpus():
+        held = sum(job.spec.cpus for job in residents)
+        reserve = self.node.operator.machine_reserve * self._used_cpus()
+        if sum(max(0.0, bin.cpus) for bin in bins) - held < 2 * reserve:
+            return False
+        if services and sum(max(0.0, bin.cpus) for bin in bins if not bin.kind[2]) - held < reserve:
             return False
         for job in services:
             zones = self.placers.zones_used(job)
--- a/src/gladecroft/coordination/placement.py
+++ b/src/gladecroft/coordination/placement.py
@@ -208,9 +208,9 @@
             best = min(
                 fitting,
                 key=lambda slot: (
-                    slot.owner != need.home,
                     slot.high_cpus > TINY,
                     not slot.spot,
+                    slot.owner != need.home,
                     need.image not in slot.images,
                     slot.free_cpus,
                     slot.machine,
