--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -146,11 +146,12 @@
         """Whether to ask for another's machine that reports here, because it can't reach its owner.
 
         A known machine leaves an owner that it has had for a while only when that one does not answer. Right after
-        a change of owner it may be on its way, so then only a second report some time later tells.
+        a change of owner it may be on its way, so then only a second report some time later tells. So too after a
+        time in which nobody could act: the first controller to act again would draw all machines to itself.
         """
         now = self.node.now
         since = self._owners.get(name, ("", self.membership.epoch_seen_at))[1]
-        if now - since > SETTLED and name in self.picture.machines:
+        if now - since > SETTLED and name in self.picture.machines and self.membership.settled(SETTLED):
             log.info("%s can't reach its owner %s: moving it here", name, self.membership.owner(name))
             self.membership.want_move(name)
             return True
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -51,6 +51,7 @@
         self.continuous = False
         self._epoch_incarnation: int | None = None
         self._entitled_until = timedelta(days=-1)
+        self._entitled_since: timedelta | None = None
         self._credits: list[tuple[timedelta, int]] = []
         self._last_renewal = timedelta(days=-1)
         self._asking: dict[str, timedelta] = {}
@@ -81,6 +82,18 @@
         )
 
     def entitled(self) -> bool:
+        entitled = self._may_act()
+        if not entitled:
+            self._entitled_since = None
+        elif self._entitled_since is None:
+            self._entitled_since = self.node.now
+        return entitled
+
+    def settled(self, span: timedelta) -> bool:
+        """Whether this controller has been entitled without a break for that long."""
+        return self.entitled() and self._entitled_since is not None and self.node.now - self._entitled_since >= span
+
+    def _may_act(self) -> bool:
         # The epoch may be known (by a direct read) before the changes that precede it: acting on that mix could
         # start an attempt again whose end a former owner has committed. So the watch must have reached the epoch.
         return (
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -272,6 +272,10 @@
         elif plain[0] == "refusals":
             ok = _compare(self.state.refusals, plain[1], float(plain[2]))
             what += f" (were {self.state.refusals})"
+        elif plain[0] == "epoch":
+            number = self.state.keys["g/epoch"][0]["number"]
+            ok = _compare(number, plain[1], float(plain[2]))
+            what += f" (is {number})"
         elif plain[0] == "keys":
             count = sum(1 for key in self.state.keys if key.startswith(plain[1]))
             ok = _compare(count, plain[2], float(plain[3]))
