--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -92,6 +92,8 @@
     RETURNING = 4
     #: Little used: its services move elsewhere, its arrays' tasks run to their end.
     EMPTYING = 5
+    #: Returned. The record stays for some time, so that a report held up by the network does not bring it back.
+    GONE = 6
 
 
 class MachineRecord(msgspec.Struct, frozen=True):
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -5,6 +5,7 @@
 import logging
 from typing import Any
 
+from gladecroft.bookkeeping.records import MachineUse
 from gladecroft.coordination.fleet import Fleet
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
@@ -82,7 +83,7 @@
     def view(self) -> dict[str, Any]:
         """This controller's own view, for operators; no jobs in it."""
         epoch = self.membership.epoch
-        machines = self.node.picture.machines
+        machines = [name for name, record in self.node.picture.machines.items() if record.use is not MachineUse.GONE]
         return {
             "name": self.node.name,
             "healthy": self.healthy(),
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -24,6 +24,8 @@
 TYPES_EVERY = timedelta(seconds=45)
 REFUSED_FOR = timedelta(seconds=15)
 PAGE = 500
+#: Messages may be held up for minutes.
+GONE_KEPT = timedelta(minutes=10)
 RENT_MOST = 50
 #: A kind is dear for a job if a core costs that many times as much as on the cheapest kind it allows.
 DEAR = 1.6
@@ -70,6 +72,7 @@
         self._idle_since: dict[str, timedelta] = {}
         self._known_since: dict[str, timedelta] = {}
         self._silent_since: dict[str, timedelta] = {}
+        self._gone_since: dict[str, timedelta] = {}
         self._returned: dict[str, timedelta] = {}
         self._returning: set[str] = set()
         self._types_at = timedelta(days=-1)
@@ -232,6 +235,11 @@
                 elif self.picture.version(machine_key(name)) <= self.picture.revision:
                     doomed.append(name)
         self._return(doomed)
+        gone = [name for name, record in self.picture.machines.items() if record.use is MachineUse.GONE]
+        self._gone_since = {name: self._gone_since.get(name, now) for name in gone}
+        for name, since in self._gone_since.items():
+            if now - since > GONE_KEPT and name not in self.picture.on_machine:
+                self.ledger.put_machine(name, None)
 
     def _presumed_dead(self, name: str) -> bool:
         """Whether to return a silent machine: the answer proves what silence alone proves only much later.
@@ -247,7 +255,7 @@
         part = [
             record.use is MachineUse.SILENT
             for other, record in self.picture.machines.items()
-            if self.membership.owner(other) == owner
+            if record.use in (MachineUse.UP, MachineUse.SILENT) and self.membership.owner(other) == owner
         ]
         if sum(part) * 3 <= len(part):
             return now - since > self.node.report * 4 / 3
@@ -485,7 +493,10 @@
                     price = self._core_price(kind, spot)
                     if price > DEAR * cheapest and self._dear_cpus <= 0:
                         continue
-                    there = sum(1 for record in self.picture.machines.values() if record.zone == zone)
+                    there = sum(
+                        record.zone == zone and record.use is not MachineUse.GONE
+                        for record in self.picture.machines.values()
+                    )
                     there += sum(1 for coming in self.coming.values() if coming.kind[1] == zone)
                     rank = (round(price, 4), there, zone)
                     if best is None or rank < best:
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -122,6 +122,11 @@
         if not self.membership.entitled():
             node.refuse(asked.number, 503, "not entitled to act", 1)
             return
+        known = self.picture.machines.get(report.machine)
+        if known is not None and known.use is MachineUse.GONE:
+            # The report was on its way when the machine was returned. Taken as news it would draw work to nowhere.
+            node.refuse(asked.number, 503, "this machine was returned", 1)
+            return
         owner = self.membership.owner(report.machine, report.zone)
         if owner != node.name:
             if self._bounce(report.machine):
@@ -199,6 +204,8 @@
     def _note_machine(self, machine: Machine, report: Report) -> None:
         known = self.ledger.machine(machine.id)
         use = MachineUse.UP if known is None else known.use
+        if use is MachineUse.GONE:
+            return
         if use is MachineUse.SILENT:
             use = MachineUse.UP
         if report.notice_s is not None and use is not MachineUse.BAD:
@@ -418,5 +425,7 @@
             del self.ledger.gone[next(iter(self.ledger.gone))]
         for key, task in self.picture.on_machine.get(name, {}).items():
             self.ledger.exit(*key, task.attempt, Outcome(False, f"returned {name}"))
-        self.ledger.put_machine(name, None)
+        known = self.ledger.machine(name)
+        if known is not None:
+            self.ledger.put_machine(name, msgspec.structs.replace(known, use=MachineUse.GONE))
         self.machines.pop(name, None)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -272,6 +272,14 @@
         elif plain[0] == "refusals":
             ok = _compare(self.state.refusals, plain[1], float(plain[2]))
             what += f" (were {self.state.refusals})"
+        elif plain[0] == "ghosts":
+            # Tasks that the records place on machines which are no more.
+            rows = [
+                row for key, entry in self.state.keys.items() if key.startswith("g/p/") for row in entry[0]["tasks"]
+            ]
+            ghosts = sum(1 for row in rows if len(row) > 2 and row[2] and row[2] not in self.cloud.machines)
+            ok = _compare(ghosts, plain[1], float(plain[2]))
+            what += f" (are {ghosts})"
         elif plain[0] == "epoch":
             number = self.state.keys["g/epoch"][0]["number"]
             ok = _compare(number, plain[1], float(plain[2]))
