Bound waiting requests and unfinished jobs by the memory limit

A flood of accepted jobs could outgrow a controller's memory. Beyond a number set by the memory limit submissions are refused at once with 429 and Retry-After.

--- a/src/gladecroft/coordination/users.py
+++ b/src/gladecroft/coordination/users.py
@@ -29,9 +29,13 @@
     Verb.CANCEL: timedelta(seconds=3),
     Verb.POLL: timedelta(seconds=1.4),
 }
+RETRY_AFTER = {429: 10, 503: 1}
 CONFIRM_EVERY = timedelta(milliseconds=60)
 READS_AT_ONCE = 16
-QUEUE_LIMIT = 1500
+#: Requests that may wait, and accepted jobs that may be unfinished, for each MB that a controller may hold. A job
+#: with its tasks takes some kilobytes, in every controller.
+WAITING_PER_MB = 10
+JOBS_PER_MB = 30
 
 
 class Waiting(msgspec.Struct, eq=False):
@@ -82,7 +86,7 @@
         if node.state_down():
             node.refuse(asked.number, 503, "the state service does not answer", 2)
             return
-        if len(self._open) >= QUEUE_LIMIT:
+        if len(self._open) >= WAITING_PER_MB * node.cluster.limits.memory_mb:
             node.refuse(asked.number, 429, "too many requests wait", 3)
             return
         self._open[asked.number] = waiting
@@ -112,6 +116,8 @@
         never = self.picture.never_runs(spec)
         if never is not None:
             return 422, never
+        if len(self.picture.jobs) >= JOBS_PER_MB * self.node.cluster.limits.memory_mb:
+            return 429, "too many jobs are unfinished"
         fits = self._fits(spec)
         if fits is False:
             return 503, "the machine types are not known yet"
@@ -296,7 +302,7 @@
         assert waiting.spec is not None
         verdict = self._judge(waiting.spec)
         if verdict is not None:
-            self._refuse(waiting, verdict[0], verdict[1], 1 if verdict[0] == 503 else None)
+            self._refuse(waiting, verdict[0], verdict[1], RETRY_AFTER.get(verdict[0]))
         else:
             waiting.tries += 1
             self._changes.append(waiting)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -48,6 +48,7 @@
         self._capacity: dict[tuple[str, str, bool], int] = {}
         self._nodes = 3
         self._state: Json = dict(PLATFORM["state"])
+        self._memory_mb = 256.0
         self._up: list[tuple[str, str, bool, int]] = []
         self.failures: list[str] = []
         self.evictions = 0
@@ -55,7 +56,11 @@
         self._lines = [(number, line) for number, line in enumerate(lines, 1) if line]
 
     def run(self) -> Scenario:
-        setup = [(n, line) for n, line in self._lines if line.split()[0] in ("nodes", "team", "type", "set", "state")]
+        setup = [
+            (n, line)
+            for n, line in self._lines
+            if line.split()[0] in ("nodes", "team", "type", "set", "state", "memory")
+        ]
         rest = [(n, line) for n, line in self._lines if (n, line) not in setup]
         for number, line in setup:
             self._guard(number, line, self._setup)
@@ -87,6 +92,8 @@
             for zone in named.get("zones", "a,b").split(","):
                 self._capacity[(kind.name, zone, False)] = int(named.get("count", 10))
                 self._capacity[(kind.name, zone, True)] = int(named.get("spot", 10))
+        elif plain[0] == "memory":
+            self._memory_mb = float(plain[1])
         elif plain[0] == "set":
             table = {key: value for key, value in named.items()}
             self.operator = msgspec.convert(table, Operator, strict=False)
@@ -107,7 +114,12 @@
                 "bind": "10.0.0.1:8080",
                 "siblings": [{"label": other, "peer_addr": "10.0.0.2:8081"} for other in names if other != name],
                 "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
-                "settings": {**PLATFORM, "teams": self._teams, "state": self._state},
+                "settings": {
+                    **PLATFORM,
+                    "teams": self._teams,
+                    "state": self._state,
+                    "resources": {"ram_mb": self._memory_mb},
+                },
             }
             controller = Controller(world, msgspec.convert(table, Platform), self.operator)
             controller.state, controller.cloud, controller.workers = self.state, self.cloud, workers
@@ -272,6 +284,11 @@
         elif plain[0] == "refusals":
             ok = _compare(self.state.refusals, plain[1], float(plain[2]))
             what += f" (were {self.state.refusals})"
+        elif plain[0] == "refused":
+            answers = [status for user in self.users.values() for _, _, status, _ in user.answers]
+            count = answers.count(int(plain[1]))
+            ok = _compare(count, plain[2], float(plain[3]))
+            what += f" (were {count})"
         elif plain[0] == "ghosts":
             # Tasks that the records place on machines which are no more.
             rows = [
