A new epoch takes effect before the next message of the same batch

Found by reading: a report handled in the batch that brought an epoch dated the machine's ownership by the epoch before, so its loss could be called up to the member lease too early if the answer was lost and the former owner answered once more. Test test_epochs.

--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -43,12 +43,11 @@
                 log.exception("fault while handling %s", type(event).__name__)
                 if isinstance(event, Asked):
                     node.refuse(event.number, 500, "internal fault")
+            # At once, not at the end of the batch: a report handled between the news of an epoch and what follows
+            # from it would be judged by what held before, and its machine's ownership dated too early.
+            self._follow_epoch()
         self.membership.tick()
-        if self.membership.changed:
-            self.membership.changed = False
-            self.ledger.epoch_changed(self.membership.continuous)
-            self.keeper.epoch_changed(self.membership.continuous)
-            self.fleet.epoch_changed()
+        self._follow_epoch()
         self.users.tick()
         self.keeper.tick()
         self.fleet.tick()
@@ -56,6 +55,14 @@
         self.keeper.work()
         return node.take_effects()
 
+    def _follow_epoch(self) -> None:
+        self.membership.see_epoch()
+        if self.membership.changed:
+            self.membership.changed = False
+            self.ledger.epoch_changed(self.membership.continuous)
+            self.keeper.epoch_changed(self.membership.continuous)
+            self.fleet.epoch_changed()
+
     def _take(self, event: Event) -> None:
         if isinstance(event, Answered):
             self.node.answered(event.call, event.status, event.body)
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -156,7 +156,7 @@
             self._join()
         elif node.now - self._last_renewal >= node.ttl / 5:
             self._renew()
-        self._see_epoch()
+        self.see_epoch()
         self._propose()
 
     def _ready(self, what: str) -> bool:
@@ -326,7 +326,7 @@
         if waiting and self.node.now - waiting[0][0] > STUCK and self._watch_open:
             log.info("the watch lags behind revision %d", waiting[0][1])
 
-    def _see_epoch(self) -> None:
+    def see_epoch(self) -> None:
         epoch = self.picture.epoch
         number = -1 if epoch is None else epoch.number
         if number == self._known_epoch:
@@ -379,7 +379,7 @@
             self._asking["propose"] = node.now + RETRY
             if status == 200:
                 picture.apply(rec.EPOCH, value, wire.decode(wire.TxnReply, body).revision)
-                self._see_epoch()
+                self.see_epoch()
             elif status in (0, 409):
                 self._refresh(rec.EPOCH)
 
--- /dev/null
+++ b/tests/test_epochs.py
@@ -0,0 +1,51 @@
+"""A new epoch takes effect before the next message of the same batch."""
+
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.core import Core
+from gladecroft.coordination.messages import Asked, Clock, Verb, Watched
+from gladecroft.protocol import wire
+from gladecroft.protocol.settings import Operator, Platform
+
+PLATFORM = {
+    "label": "n0",
+    "bind": "10.0.0.1:8080",
+    "siblings": [{"label": "n1", "peer_addr": "10.0.0.2:8081"}],
+    "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+    "settings": {
+        "zones": ["a"],
+        "teams": [{"name": "t", "cpus": 8.0, "cpus_max": 16.0}],
+        "workers": {"report_s": 3.0, "lease_s": 18.0, "cancel_s": 43.0},
+        "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12},
+        "cloud": {"rps": 3.0, "list_lag_s": 4.0},
+    },
+}  # fmt: skip
+
+
+def clock(at: float) -> Clock:
+    return Clock(timedelta(seconds=at), datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=at))
+
+
+def epoch(number: int, owner: str) -> bytes:
+    return msgspec.json.encode(rec.EpochRecord(number, "n1", {"n0": 7, "n1": 8}, {"m-1": owner}))
+
+
+def test_a_report_after_the_news_of_an_epoch_is_dated_by_that_epoch() -> None:
+    core = Core(msgspec.convert(PLATFORM, Platform), Operator())
+    core.node.loaded = True
+    core.membership.lease = core.membership.incarnation = 7
+    core.node.picture.apply(rec.EPOCH, epoch(1, "n1"), 10)
+    core.node.picture.revision = 10
+    core.step(clock(100), [])
+    core.membership._entitled_until = timedelta(seconds=1000)
+    news = wire.WatchReply(11, [wire.LogEntry(11, rec.EPOCH, None, msgspec.Raw(epoch(2, "n0")))])
+    report = {"hearth": "m-1", "endpoint": "a:1", "flavor": "g", "district": "a", "leftovers": False, "shift": 1,
+              "tally": 1, "baton": 0, "warningS": None, "portions": []}  # fmt: skip
+    core.step(clock(200), [Watched(news), Asked(1, Verb.REPORT, msgspec.json.encode(report))])
+    machine = core.keeper.machines["m-1"]
+    # The former owner may have answered until its member lease ended, counted from this epoch, not from the last.
+    assert machine.owner_since == timedelta(seconds=200)
+    assert core.keeper.gone_at(machine) > timedelta(seconds=200 + 6 + 18)
