--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,138 @@
+"""Whatever is lost, late or repeated: an attempt that was told gone or reaped is never started again."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.coordination.core import Core
+from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Target, Verb
+from gladecroft.protocol import wire
+from gladecroft.protocol.settings import Operator, Platform
+from test_epochs import PLATFORM, clock
+from test_protocol import JOB
+
+SPEC = wire.parse_job(msgspec.json.encode({**JOB, "nameId": "wk-1", "owner": "t", "portions": 1, "oneZone": False}))
+
+
+class Rig:
+    """A core that owns one machine with one placed task, and a model of that machine's worker."""
+
+    def __init__(self) -> None:
+        self.core = Core(msgspec.convert(PLATFORM, Platform), Operator())
+        self.core.node.loaded = True
+        self.core.membership.lease = self.core.membership.incarnation = 7
+        self.revision = 10
+        self.at = 100.0
+        self.put(rec.EPOCH, rec.EpochRecord(1, "n1", {"n0": 7, "n1": 8}, {"m-1": "n0"}))
+        self.put("g/m/m-1", rec.MachineRecord("g", "a", False, "10.1.0.1:9000"))
+        self.put("g/j/wk-1", rec.JobRecord(SPEC, 0))
+        self.token = self.seq = self.number = 0
+        self.tasks: dict[str, Any] = {}
+        self.reaped = False
+        self.direct: Call | None = None
+        self.late: list[Any] = []
+        self.broken = ""
+        self.step([])
+        self.core.membership._entitled_until = clock(10_000).steady
+
+    def put(self, key: str, value: Any) -> None:
+        self.revision += 1
+        self.core.node.picture.apply(key, msgspec.json.encode(value), self.revision)
+        self.core.node.picture.revision = self.revision
+
+    def place(self, state: TaskState) -> None:
+        machine = "" if state is TaskState.DONE else "m-1"
+        self.put("g/p/wk-1/0", rec.ChunkRecord([TaskRecord(state, 1, machine)]))
+
+    def step(self, events: list[Any]) -> list[Reply]:
+        self.at += 0.6
+        effects = self.core.step(clock(self.at), events)
+        for effect in effects:
+            if isinstance(effect, Call) and effect.target is Target.WORKER:
+                self.direct = effect
+        return [effect for effect in effects if isinstance(effect, Reply)]
+
+    def report(self) -> bytes:
+        self.seq += 1
+        return msgspec.json.encode(
+            {"hearth": "m-1", "endpoint": "10.1.0.1:9000", "flavor": "g", "district": "a", "leftovers": False,
+             "shift": 1, "tally": self.seq, "baton": self.token, "portions": list(self.tasks.values())}
+        )  # fmt: skip
+
+    def execute(self, message: Any) -> bool:
+        if message["baton"] < self.token:
+            return False
+        self.token = message["baton"]
+        for order in message["orders"]:
+            name = order["portion"]
+            if order["verb"] == "start" and name not in self.tasks:
+                if self.reaped or ("wk-1", 0, 1) in self.core.ledger.exits:
+                    self.broken = "started after it was reaped or called gone"
+                self.tasks[name] = {"portion": name, "try": order["try"], "status": "running"}
+            elif order["verb"] == "halt" and name in self.tasks:
+                self.tasks[name].update(status="exited", cause="halted")
+            elif order["verb"] == "reap" and self.tasks.get(name, {}).get("status") == "exited":
+                del self.tasks[name]
+                self.reaped = True
+        return True
+
+    def do(self, what: str) -> None:
+        call, body = self.direct, None if self.direct is None else msgspec.json.decode(self.direct.body or b"")
+        if what == "place" and not self.core.node.picture.jobs["wk-1"].chunks:
+            self.place(TaskState.ACTIVE)
+        elif what in ("beat", "beat, answer lost"):
+            self.number += 1
+            for reply in self.step([Asked(self.number, Verb.REPORT, self.report())]):
+                if reply.status == 200 and what == "beat":
+                    self.execute(msgspec.json.decode(reply.body))
+        elif what == "finish":
+            for task in self.tasks.values():
+                if task["status"] == "running":
+                    task.update(status="exited", cause="done")
+        elif what == "commit" and ("wk-1", 0, 1) in self.core.ledger.exits:
+            self.place(TaskState.DONE)
+        elif what == "stop" and self.core.node.picture.on_machine:
+            self.place(TaskState.STOPPING)
+        elif what == "late" and self.late:
+            self.execute(self.late.pop(0))
+        elif call is not None and what in ("answer", "lose", "lose answer"):
+            self.direct = None
+            if what == "answer":
+                status = 200 if self.execute(body) else 409
+                self.step([Answered(call.number, status, self.report())])
+            else:
+                if what == "lose":
+                    self.late.append(body)
+                else:
+                    self.execute(body)
+                self.step([Answered(call.number, 0)])
+        self.step([])
+
+
+DEEDS = st.sampled_from(
+    ["beat", "beat, answer lost", "place", "finish", "commit", "stop", "late", "answer", "lose", "lose answer"]
+)
+
+
+@settings(max_examples=500)
+@given(st.lists(DEEDS, min_size=5, max_size=25))
+@example(["beat", "place", "lose", "stop", "beat, answer lost", "late"])
+@example(["beat", "place", "lose", "beat", "finish", "beat, answer lost", "commit", "beat", "beat", "late"])
+def test_nothing_starts_after_it_was_called_gone(deeds: list[str]) -> None:
+    rig = Rig()
+    for deed in deeds:
+        rig.do(deed)
+        assert not rig.broken, rig.broken
+
+
+def test_the_rig_starts_stops_and_reaps() -> None:
+    rig = Rig()
+    for deed in ("beat", "place", "answer", "beat", "stop", "answer", "beat", "commit", "beat", "beat"):
+        rig.do(deed)
+    assert rig.reaped and not rig.tasks
