--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -32,7 +32,7 @@
     """An accepted job that is not over, with its tasks."""
 
     __slots__ = (
-        "id", "spec", "record", "version", "chunks", "versions", "counts", "rank", "size",
+        "id", "spec", "record", "version", "chunks", "versions", "counts", "begun", "rank", "size",
     )  # fmt: skip
 
     def __init__(self, record: rec.JobRecord, version: int, size: int) -> None:
@@ -44,6 +44,8 @@
         self.chunks: dict[int, list[rec.TaskRecord]] = {}
         self.versions: dict[int, int] = {}
         self.counts = [record.spec.tasks, 0, 0, 0]
+        #: Tasks that have been placed at least once.
+        self.begun = 0
         self.rank = PRIORITY_RANK[record.spec.priority]
 
     @property
@@ -115,10 +117,22 @@
         self.finals: OrderedDict[str, rec.FinalRecord] = OrderedDict()
         self.teams: dict[str, rec.TeamRecord] = {}
         self.machines: dict[str, rec.MachineRecord] = {}
+        #: The machines among them that are not simply up.
+        self.aside: dict[str, rec.MachineUse] = {}
         #: What the records place on each machine.
         self.on_machine: dict[str, dict[TaskKey, rec.TaskRecord]] = {}
-        #: Machines whose wanted tasks changed since the owner last looked.
+        #: Machines whose wanted tasks changed since the owner last looked, and the same for the placers.
         self.touched: set[str] = set()
+        self.stale: set[str] = set()
+        #: Counts every change taken in, and the changes that bear on which jobs are within a guarantee.
+        self.changes = 0
+        self.job_changes = 0
+        #: Jobs with tasks that wait, jobs that are over, gangs: so that nobody has to look through all jobs.
+        self.queued: dict[str, Job] = {}
+        self.over: dict[str, Job] = {}
+        self.gangs: dict[str, Job] = {}
+        self._guaranteed: tuple[int, set[str]] = (-1, set())
+        self._used: dict[str, tuple[float, float, float]] = {}
         self._versions: dict[str, int] = {}
         self._gone: OrderedDict[str, int] = OrderedDict()
         self._orphans: dict[str, dict[int, tuple[list[rec.TaskRecord], int]]] = {}
@@ -138,6 +152,7 @@
                 self._gone.popitem(last=False)
         else:
             self._versions[key] = version
+        self.changes += 1
         try:
             self._take(key, None if value is None else bytes(value), version)
         except (msgspec.DecodeError, ValueError, IndexError) as error:
@@ -164,9 +179,15 @@
         elif kind == rec.MACHINES:
             if value is None:
                 self.machines.pop(name, None)
+                self.aside.pop(name, None)
             else:
-                self.machines[name] = decode(rec.MachineRecord, value)
+                machine = self.machines[name] = decode(rec.MachineRecord, value)
+                if machine.use is rec.MachineUse.UP:
+                    self.aside.pop(name, None)
+                else:
+                    self.aside[name] = machine.use
             self.touched.add(name)
+            self.stale.add(name)
         elif kind == rec.MEMBERS:
             if value is None:
                 self.members.pop(name, None)
@@ -189,18 +210,39 @@
         job = self.jobs.get(name)
         if job is None:
             job = self.jobs[name] = Job(record, version, self.size)
+            self.job_changes += 1
+            if job.spec.kind is Kind.GANG:
+                self.gangs[name] = job
             for index, (chunk, chunk_version) in self._orphans.pop(name, {}).items():
                 self._take_chunk(name, index, chunk, chunk_version)
         else:
             was_cancelled = job.cancelled
             job.record, job.version = record, version
             if record.cancelled and not was_cancelled:
-                self.touched.update(task.machine for _, task in job.placed())
+                self.job_changes += 1
+                machines = {task.machine for _, task in job.placed()}
+                self.touched.update(machines)
+                self.stale.update(machines)
+        self._sort_in(job)
+
+    def _sort_in(self, job: Job) -> None:
+        """Keep the lists of waiting and of finished jobs."""
+        if job.queued_count:
+            self.queued[job.id] = job
+        else:
+            self.queued.pop(job.id, None)
+        if job.over:
+            self.over[job.id] = job
+        else:
+            self.over.pop(job.id, None)
 
     def _forget_job(self, name: str) -> None:
         job = self.jobs.pop(name, None)
         if job is None:
             return
+        self.job_changes += 1
+        for jobs in (self.queued, self.over, self.gangs):
+            jobs.pop(name, None)
         for number, task in job.placed():
             self._lift(name, number, task.machine)
         if job.chunks:
@@ -229,17 +271,21 @@
                 continue
             job.counts[before.state] -= 1
             job.counts[after.state] += 1
+            job.begun += bool(after.attempt) - bool(before.attempt)
             if before.machine:
                 self._lift(name, base + offset, before.machine)
             if after.machine:
                 self.on_machine.setdefault(after.machine, {})[(name, base + offset)] = after
                 self.touched.add(after.machine)
+                self.stale.add(after.machine)
+                self._used.pop(after.machine, None)
         if chunk is None:
             job.chunks.pop(index, None)
             job.versions.pop(index, None)
         else:
             job.chunks[index] = chunk
             job.versions[index] = version
+        self._sort_in(job)
 
     def _lift(self, name: str, number: int, machine: str) -> None:
         there = self.on_machine.get(machine)
@@ -248,6 +294,8 @@
             if not there:
                 del self.on_machine[machine]
         self.touched.add(machine)
+        self.stale.add(machine)
+        self._used.pop(machine, None)
 
     def orphans(self) -> Iterator[tuple[str, int]]:
         """Chunks left behind by jobs that are over."""
@@ -261,13 +309,16 @@
         return self.teams.get(team) or rec.TeamRecord()
 
     def used_on(self, machine: str) -> tuple[float, float, float]:
-        cpus = gpus = memory = 0.0
-        for job_id, _ in self.on_machine.get(machine, {}):
-            spec = self.jobs[job_id].spec
-            cpus += spec.cpus
-            gpus += spec.gpus
-            memory += spec.memory_gb
-        return cpus, gpus, memory
+        used = self._used.get(machine)
+        if used is None:
+            cpus = gpus = memory = 0.0
+            for job_id, _ in self.on_machine.get(machine, {}):
+                spec = self.jobs[job_id].spec
+                cpus += spec.cpus
+                gpus += spec.gpus
+                memory += spec.memory_gb
+            used = self._used[machine] = cpus, gpus, memory
+        return used
 
     def never_runs(self, spec: JobSpec) -> str | None:
         """Why the job is more than its team's limit allows for good, or None."""
@@ -281,6 +332,8 @@
 
     def guaranteed(self) -> set[str]:
         """Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs."""
+        if self._guaranteed[0] == self.job_changes:
+            return self._guaranteed[1]
         inside: set[str] = set()
         sums: dict[str, list[float]] = {}
         for job in sorted(self.jobs.values(), key=lambda job: (job.record.accepted_ms, job.id)):
@@ -292,6 +345,11 @@
             total[1] += job.spec.gpus * job.spec.tasks
             if total[0] <= team.cpus + 1e-9 and total[1] <= team.gpus + 1e-9:
                 inside.add(job.id)
+        for name in inside ^ self._guaranteed[1]:
+            changed = self.jobs.get(name)
+            if changed is not None:
+                self.stale.update(task.machine for _, task in changed.placed())
+        self._guaranteed = (self.job_changes, inside)
         return inside
 
 
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -51,6 +51,7 @@
         self.users.tick()
         self.keeper.tick()
         self.fleet.tick()
+        self.ledger.tell()
         self.ledger.flush()
         self.keeper.work()
         return node.take_effects()
@@ -61,6 +62,7 @@
             self.membership.changed = False
             self.ledger.epoch_changed(self.membership.continuous)
             self.keeper.epoch_changed(self.membership.continuous)
+            self.placers.floor.all_stale()
             self.fleet.epoch_changed()
 
     def _take(self, event: Event) -> None:
@@ -79,6 +81,8 @@
                 self.node.reply(asked.number, 200, b"{}")
             else:
                 self.node.refuse(asked.number, 503, "can't take requests now", 1)
+        elif asked.verb is Verb.ENDED:
+            self.ledger.told(asked)
         elif asked.verb is Verb.VIEW:
             self.node.reply(asked.number, 200, encode(self.view()))
         else:
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gladecroft.bookkeeping.picture import Job
-from gladecroft.bookkeeping.records import MachineUse, machine_key
+from gladecroft.bookkeeping.records import MachineRecord, MachineUse, machine_key
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.membership import Membership
@@ -35,6 +35,8 @@
 CALM = timedelta(seconds=4)
 MOSTLY_FREE = 0.5
 RETURN_MOST = 100
+#: How many of the least used machines are tried each time.
+EMPTYING_TRIES = 6
 
 Kind = tuple[str, str, bool]  # type, zone, spot
 
@@ -83,6 +85,7 @@
         self._plan_at = timedelta(days=-1)
         self._dear_cpus = 0.0
         self._calm_since = timedelta()
+        self._in_zone: dict[str, int] = {}
 
     def epoch_changed(self) -> None:
         if not self.membership.member() or self.picture.epoch is None or self.picture.epoch.leader != self.node.name:
@@ -119,7 +122,7 @@
             self._types_busy = False
             if status == 200:
                 types: list[MachineType] = wire.decode(wire.MachineTypes, body).types
-                self.placers.types = {kind.name: kind for kind in types}
+                self.placers.floor.set_types({kind.name: kind for kind in types})
 
         self._types_at = self.node.now
         self._types_busy = self.node.cloud("GET", wire.TYPES_PATH, None, then)
@@ -221,12 +224,14 @@
             for name, since in self._silent_since.items()
             if name in self.picture.machines and self.picture.machines[name].use is MachineUse.SILENT
         }
-        for name, record in self.picture.machines.items():
+        silent = self._silent_parts()
+        for name in list(self.picture.aside):
+            record = self.picture.machines[name]
             drained = (
                 record.use in (MachineUse.BAD, MachineUse.LEAVING, MachineUse.EMPTYING)
                 and name not in self.picture.on_machine
             )
-            if drained or (record.use is MachineUse.SILENT and self._presumed_dead(name)):
+            if drained or (record.use is MachineUse.SILENT and self._presumed_dead(name, silent)):
                 doomed.append(name)
             elif record.use is MachineUse.RETURNING:
                 # Somebody may have placed on it just before its record changed: then it stays.
@@ -235,13 +240,25 @@
                 elif self.picture.version(machine_key(name)) <= self.picture.revision:
                     doomed.append(name)
         self._return(doomed)
-        gone = [name for name, record in self.picture.machines.items() if record.use is MachineUse.GONE]
+        gone = [name for name, use in self.picture.aside.items() if use is MachineUse.GONE]
         self._gone_since = {name: self._gone_since.get(name, now) for name in gone}
         for name, since in self._gone_since.items():
             if now - since > GONE_KEPT and name not in self.picture.on_machine:
                 self.ledger.put_machine(name, None)
 
-    def _presumed_dead(self, name: str) -> bool:
+    def _silent_parts(self) -> dict[str, tuple[int, int]]:
+        """For each owner with silent machines, how many of its machines are silent, and how many it has."""
+        parts: dict[str, tuple[int, int]] = {}
+        if MachineUse.SILENT not in self.picture.aside.values():
+            return parts
+        for name, record in self.picture.machines.items():
+            if record.use in (MachineUse.UP, MachineUse.SILENT):
+                owner = self.membership.owner(name) or ""
+                silent, held = parts.get(owner, (0, 0))
+                parts[owner] = (silent + (record.use is MachineUse.SILENT), held + 1)
+        return parts
+
+    def _presumed_dead(self, name: str, parts: dict[str, tuple[int, int]]) -> bool:
         """Whether to return a silent machine: the answer proves what silence alone proves only much later.
 
         The list tells of machines that were taken; for others a short while must do. If a large part of an owner's
@@ -251,13 +268,8 @@
         since = self._silent_since.setdefault(name, now)
         if name not in self.listed and now - self._known_since[name] > self._list_age():
             return True
-        owner = self.membership.owner(name)
-        part = [
-            record.use is MachineUse.SILENT
-            for other, record in self.picture.machines.items()
-            if record.use in (MachineUse.UP, MachineUse.SILENT) and self.membership.owner(other) == owner
-        ]
-        if sum(part) * 3 <= len(part):
+        silent, held = parts.get(self.membership.owner(name) or "", (0, 0))
+        if silent * 3 <= held:
             return now - since > self.node.report * 4 / 3
         return now - since > self.node.lease
 
@@ -291,10 +303,14 @@
             if kind is not None:
                 bins += [_Bin(booking.kind, kind.cpus, kind.gpus, kind.memory_gb) for _ in range(booking.count)]
         want: dict[Kind, int] = {}
-        waiting = [job for job in self.picture.jobs.values() if job.queued_count]
+        waiting = list(self.picture.queued.values())
         self._dear_cpus = self._dear_room(bins)
+        self._count_zones()
+        # Only bins that can still hold something are looked through, by kind; the list shrinks as they fill.
+        smallest = min((job.spec.cpus for job in waiting), default=0.0)
+        room = _Room(bins, smallest)
         for job in self.placers.order(waiting, guaranteed):
-            self._fill(job, bins, want)
+            self._fill(job, room, want)
         for wanted, count in want.items():
             for start in range(0, count, RENT_MOST):
                 self._rent(wanted, min(RENT_MOST, count - start))
@@ -304,14 +320,23 @@
         for name in [name for name in self._idle_since if name not in self.picture.machines]:
             del self._idle_since[name]
 
+    def _count_zones(self) -> None:
+        """How many machines each zone has or is to have."""
+        self._in_zone = {}
+        for record in self.picture.machines.values():
+            if record.use is not MachineUse.GONE:
+                self._in_zone[record.zone] = self._in_zone.get(record.zone, 0) + 1
+        for coming in self.coming.values():
+            self._in_zone[coming.kind[1]] = self._in_zone.get(coming.kind[1], 0) + 1
+
     def _consolidate(self, now: timedelta, waiting: bool) -> None:
         """Empty a little-used machine whose services fit elsewhere; if work waits, take such machines back into use."""
-        emptying = [name for name, record in self.picture.machines.items() if record.use is MachineUse.EMPTYING]
+        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
         if waiting or self.coming or self._bookings:
             self._calm_since = now
             for name in emptying if waiting else ():
                 # Services on the move wait for a moment too: only what finds no room brings the machine back.
-                if any(self._stuck(job) for job in self.picture.jobs.values()):
+                if any(self._stuck(job) for job in self.picture.queued.values()):
                     self.ledger.put_machine(
                         name, msgspec.structs.replace(self.picture.machines[name], use=MachineUse.UP)
                     )
@@ -320,23 +345,28 @@
             return
         if len(emptying) > len(self.picture.machines) // 12:
             return
-        best: tuple[float, str] | None = None
-        for name, record in self.picture.machines.items():
-            kind = self.placers.types.get(record.type)
-            if kind is None or record.use is not MachineUse.UP or name not in self.picture.on_machine:
+        candidates: list[tuple[float, str, list[Job]]] = []
+        for name in self.picture.on_machine:
+            known = self.picture.machines.get(name)
+            kind = None if known is None else self.placers.types.get(known.type)
+            if known is None or kind is None or known.use is not MachineUse.UP:
                 continue
             residents = [self.picture.jobs[job] for job, _ in self.picture.on_machine[name]]
             services = sum(job.spec.kind is wire.Kind.SERVICE for job in residents)
-            used = sum(job.spec.cpus for job in residents)
-            if (services and used > MOSTLY_FREE * kind.cpus) or not self._fits_elsewhere(name, record.zone, residents):
+            if services and self.picture.used_on(name)[0] > MOSTLY_FREE * kind.cpus:
                 continue
-            gain = (kind.spot_price if record.spot else kind.price) / (1 + services)
-            if best is None or (gain, name) > best:
-                best = (gain, name)
-        if best is not None:
-            name = best[1]
-            log.info("%s is little used: emptying it", name)
-            self.ledger.put_machine(name, msgspec.structs.replace(self.picture.machines[name], use=MachineUse.EMPTYING))
+            candidates.append((self._price(known) / (1 + services), name, residents))
+        candidates.sort(key=lambda candidate: candidate[:2], reverse=True)
+        for _, name, residents in candidates[:EMPTYING_TRIES]:
+            record = self.picture.machines[name]
+            if self._fits_elsewhere(name, record.zone, residents):
+                log.info("%s is little used: emptying it", name)
+                self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.EMPTYING))
+                return
+
+    def _price(self, record: MachineRecord) -> float:
+        kind = self.placers.types[record.type]
+        return kind.spot_price if record.spot else kind.price
 
     def _stuck(self, job: Job) -> bool:
         """Work that waits, and not just because it is being moved."""
@@ -422,28 +452,37 @@
                 bins.append(_Bin(coming.kind, kind.cpus, kind.gpus, kind.memory_gb))
         return bins
 
-    def _fill(self, job: Job, bins: list[_Bin], want: dict[Kind, int]) -> None:
+    def _fill(self, job: Job, room: _Room, want: dict[Kind, int]) -> None:
         """Put a job's waiting tasks into bins, opening new ones by the cheapest kinds."""
         spec = job.spec
         left = min(job.queued_count, self._limit_room(job))
         cap = spec.zone_cap()
-        zones = self.placers.zones_used(job)
+        zones = self.placers.zones_used(job) if spec.spread or spec.one_zone else {}
         if spec.one_zone and zones:
             left_zone: str | None = next(iter(zones))
         else:
             left_zone = None
-        for bin in bins:
-            if left <= 0:
-                return
-            if left_zone is not None and bin.kind[1] != left_zone:
+        if left <= 0:
+            return
+        for kind_of, bins in room.kinds.items():
+            if left_zone is not None and kind_of[1] != left_zone:
                 continue
-            if not self.placers.allowed(spec, *bin.kind):
+            if not self.placers.allowed(spec, *kind_of):
                 continue
-            count = min(left, bin.holds(job), cap - zones.get(bin.kind[1], 0))
-            if count > 0:
-                bin.take(job, count)
-                zones[bin.kind[1]] = zones.get(bin.kind[1], 0) + count
-                left -= count
+            used_up = False
+            for bin in bins:
+                count = min(left, bin.holds(job), cap - zones.get(kind_of[1], 0))
+                if count > 0:
+                    bin.take(job, count)
+                    used_up |= bin.cpus + 1e-6 < room.smallest
+                    zones[kind_of[1]] = zones.get(kind_of[1], 0) + count
+                    left -= count
+                    if left <= 0:
+                        break
+            if used_up:
+                room.trim(kind_of)
+            if left <= 0:
+                return
         while left > 0:
             kind = self._cheapest(job, zones, left_zone)
             if kind is None:
@@ -454,7 +493,8 @@
             if count <= 0:
                 return
             bin.take(job, count)
-            bins.append(bin)
+            room.add(bin)
+            self._in_zone[kind[1]] = self._in_zone.get(kind[1], 0) + 1
             want[kind] = want.get(kind, 0) + 1
             zones[kind[1]] = zones.get(kind[1], 0) + count
             left -= count
@@ -493,12 +533,7 @@
                     price = self._core_price(kind, spot)
                     if price > DEAR * cheapest and self._dear_cpus <= 0:
                         continue
-                    there = sum(
-                        record.zone == zone and record.use is not MachineUse.GONE
-                        for record in self.picture.machines.values()
-                    )
-                    there += sum(1 for coming in self.coming.values() if coming.kind[1] == zone)
-                    rank = (round(price, 4), there, zone)
+                    rank = (round(price, 4), self._in_zone.get(zone, 0), zone)
                     if best is None or rank < best:
                         best, choice = rank, (kind.name, zone, spot)
         if best is not None and choice is not None and best[0] > DEAR * cheapest:
@@ -538,6 +573,23 @@
             self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.RETURNING))
 
 
+class _Room:
+    """The bins that can still hold something, by kind."""
+
+    def __init__(self, bins: list[_Bin], smallest: float) -> None:
+        self.smallest = smallest
+        self.kinds: dict[Kind, list[_Bin]] = {}
+        for bin in bins:
+            self.add(bin)
+
+    def add(self, bin: _Bin) -> None:
+        if bin.cpus + 1e-6 >= self.smallest:
+            self.kinds.setdefault(bin.kind, []).append(bin)
+
+    def trim(self, kind: Kind) -> None:
+        self.kinds[kind] = [bin for bin in self.kinds[kind] if bin.cpus + 1e-6 >= self.smallest]
+
+
 class _Bin:
     """Room on a machine; without a name on one that is yet to come."""
 
--- /dev/null
+++ b/src/gladecroft/coordination/floor.py
@@ -0,0 +1,135 @@
+"""The machines as the placers see them, kept from round to round: only what has changed is looked at again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
+from gladecroft.coordination.keeper import Keeper
+from gladecroft.coordination.ledger import Ledger
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.placement import Resident, Slot
+from gladecroft.protocol.wire import JobSpec, Kind, MachineType
+
+#: A machine's type and zone, and whether it is a cheap one.
+Sort = tuple[str, str, bool]
+
+
+class Floor:
+    """Slots of the machines that may be offered: in use and, in our own part, heard in this epoch."""
+
+    def __init__(self, node: Node, membership: Membership, keeper: Keeper, ledger: Ledger, line: int) -> None:
+        self.picture = node.picture
+        self.name = node.name
+        self.membership = membership
+        self.keeper = keeper
+        self.ledger = ledger
+        self.line = line
+        self.types: dict[str, MachineType] = {}
+        self.slots: dict[str, Slot] = {}
+        self.groups: dict[Sort, dict[str, Slot]] = {}
+        self._sorts: dict[str, Sort] = {}
+        self._images: dict[str, dict[str, None]] = {}
+        self._looked = 0
+
+    def all_stale(self) -> None:
+        self.picture.stale.update(self.picture.machines, self.slots)
+
+    def set_types(self, types: dict[str, MachineType]) -> None:
+        if types != self.types:
+            self.types = types
+            self.all_stale()
+
+    def refresh(self, guaranteed: set[str]) -> None:
+        """Bring the slots of machines up to date that have changed or that the last round planned on."""
+        stale, self.picture.stale = self.picture.stale, set()
+        self._looked += len(stale)
+        for name in sorted(stale):
+            self._drop(name)
+            slot = self._slot(name, guaranteed)
+            if slot is not None:
+                record = self.picture.machines[name]
+                sort = (record.type, record.zone, record.spot)
+                self.slots[name] = slot
+                self._sorts[name] = sort
+                self.groups.setdefault(sort, {})[name] = slot
+            elif name not in self.picture.machines:
+                self._images.pop(name, None)
+
+    @property
+    def looked(self) -> int:
+        """How many machines have been looked at so far."""
+        return self._looked
+
+    def _drop(self, name: str) -> None:
+        if self.slots.pop(name, None) is not None:
+            sort = self._sorts.pop(name)
+            group = self.groups[sort]
+            del group[name]
+            if not group:
+                del self.groups[sort]
+
+    def _slot(self, name: str, guaranteed: set[str]) -> Slot | None:
+        record = self.picture.machines.get(name)
+        if record is None or record.use is not MachineUse.UP or name in self.ledger.machine_puts:
+            return None
+        kind = self.types.get(record.type)
+        if kind is None:
+            return None
+        owner = self.membership.owner(name) or ""
+        mine = owner == self.name
+        images = self._images.setdefault(name, {})
+        if mine:
+            machine = self.keeper.machines.get(name)
+            # A taker-over offers a machine only after its report.
+            if machine is None or machine.report is None or machine.suspect:
+                return None
+            images.update(machine.images)
+        residents = [
+            self._resident(self.picture.jobs[job], number, task, guaranteed)
+            for (job, number), task in self.picture.on_machine.get(name, {}).items()
+        ]
+        slot = Slot(
+            name, record.zone, record.spot, mine, owner, kind.cpus, kind.gpus, kind.memory_gb, set(images), residents
+        )
+        slot.count(self.line)
+        return slot
+
+    @staticmethod
+    def _resident(job: Job, number: int, task: TaskRecord, guaranteed: set[str]) -> Resident:
+        spec = job.spec
+        stopping = task.state is TaskState.STOPPING or job.cancelled
+        return Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team,
+                        job.id in guaranteed, task.placed_s, stopping,
+                        job.occupied if spec.kind is Kind.GANG else 1)  # fmt: skip
+
+    def note_image(self, machine: str, image: str) -> None:
+        self._images.setdefault(machine, {})[image] = None
+
+    # What a job allows ---------------------------------------------------------------------------------------
+
+    @staticmethod
+    def type_allowed(spec: JobSpec, kind: MachineType) -> bool:
+        return (
+            (spec.types is None or kind.name in spec.types)
+            and spec.cpus <= kind.cpus
+            and spec.gpus <= kind.gpus
+            and spec.memory_gb <= kind.memory_gb
+        )
+
+    def allowed(self, spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
+        kind = self.types.get(type_name)
+        return (
+            kind is not None
+            and self.type_allowed(spec, kind)
+            and (spec.zone is None or spec.zone == zone)
+            and (spec.spot or not spot)
+        )
+
+    def usable(self, spec: JobSpec) -> Iterator[Slot]:
+        """The slots of the sorts of machine that the job allows."""
+        for sort, group in self.groups.items():
+            if self.allowed(spec, *sort):
+                yield from group.values()
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -32,6 +32,7 @@
 BOUNCE_APART = timedelta(seconds=3)
 BOUNCE_WINDOW = timedelta(seconds=20)
 BODY_BUDGET = 48_000
+LOOK_EVERY = timedelta(milliseconds=200)
 
 TaskKey = tuple[str, int]
 
@@ -50,6 +51,8 @@
     token: int
     report: Report | None = None
     present: dict[TaskKey, TaskReport] = {}
+    #: Further attempts of tasks in ``present``: a refused start stays beside the attempt that it ran into.
+    beside: dict[TaskKey, list[TaskReport]] = {}
     answered_at: timedelta | None = None
     heard_at: timedelta | None = None
     direct: bool = False
@@ -76,6 +79,7 @@
         self._moving: dict[str, tuple[Asked, timedelta]] = {}
         #: Jobs of which an attempt has completed: their failures point at the machine.
         self._sound: dict[str, None] = {}
+        self._looked_at = timedelta(days=-1)
 
     # Ownership -----------------------------------------------------------------------------------------------
 
@@ -189,14 +193,24 @@
             machine.sent = {}
             if old is not None:
                 log.info("%s is in session %d", machine.id, report.session)
+        if old is None or machine.suspect:
+            self.picture.stale.add(machine.id)
         machine.report = report
         machine.heard_at = self.node.now
         machine.lost = machine.suspect = False
-        machine.present = {}
+        machine.present, machine.beside = {}, {}
+        wanted = self.picture.on_machine.get(machine.id, {})
         for task in report.tasks:
             key = task_key(task.task)
-            if key is not None:
-                machine.present[key] = task
+            if key is None:
+                continue
+            known = machine.present.get(key)
+            if known is not None:
+                record = wanted.get(key)
+                if record is not None and known.attempt == record.attempt:
+                    task, known = known, task
+                machine.beside.setdefault(key, []).append(known)
+            machine.present[key] = task
         self._judge(machine)
         self._note_machine(machine, report)
         return True
@@ -247,7 +261,8 @@
         elif why == Why.STOPPED:
             self.ledger.exit(*key, task.attempt, Outcome(False, task.note or "stopped"))
         else:
-            self.ledger.exit(*key, task.attempt, Outcome(False, f"{why} {machine.id}"))
+            # Not simply room that another took first: the next try waits a little.
+            self.ledger.exit(*key, task.attempt, Outcome(False, f"{why} {machine.id}", why != Why.NO_ROOM))
 
     def _suspect(self, machine: Machine) -> None:
         """A machine on which several jobs fail, or jobs that complete elsewhere, is taken out of use."""
@@ -264,6 +279,17 @@
         node = self.node
         wanted = self.picture.on_machine.get(machine.id, {})
         commands: list[Command] = []
+        blocked: set[TaskKey] = set()
+        for key, others in machine.beside.items():
+            # All but one attempt of a task go first, or a start would be refused again and again.
+            for other in others:
+                if other.state is not Seen.EXITED:
+                    commands.append(Command(Op.STOP, f"{key[0]}/{key[1]}", other.attempt, 0.0))
+                    blocked.add(key)
+                elif machine.trusted():
+                    commands.append(Command(Op.FORGET, f"{key[0]}/{key[1]}", other.attempt))
+                else:
+                    blocked.add(key)
         for key, task in wanted.items():
             job = self.picture.jobs.get(key[0])
             if job is None:
@@ -272,7 +298,7 @@
             name = f"{key[0]}/{key[1]}"
             stopping = task.state == TaskState.STOPPING or job.cancelled
             # Once an attempt counts as gone it must not be started here again: its task may soon run elsewhere.
-            ending = (*key, task.attempt) in self.ledger.exits
+            ending = (*key, task.attempt) in self.ledger.exits or key in blocked
             if seen is not None and seen.attempt != task.attempt:
                 # An earlier attempt is still here: it goes first.
                 if seen.state is not Seen.EXITED:
@@ -337,11 +363,18 @@
         before = dict(machine.sent)
         commands = self._commands(machine)
         starting = {command.task for command in commands if command.op is Op.START}
+        # What ends an earlier attempt goes along with every start, though it was sent before: that may still be on its
+        # way, and a start that overtakes it is refused.
         fresh = [
-            command for command in commands
-            if (command.op is not Op.FORGET or command.task in starting)
+            command
+            for command in commands
+            if command.task in starting
+            and command.op is Op.FORGET
+            or command.op is not Op.FORGET
             and node.now - before.get(self._mark(command), timedelta(days=-1)) > RESEND
-        ]  # fmt: skip
+        ]
+        if all(command.op is Op.FORGET for command in fresh):
+            fresh = []
         machine.sent = {**machine.sent, **before}
         if not fresh:
             return
@@ -367,6 +400,7 @@
             if machine.heard_at is not None and machine.heard_at <= sent_at and node.now - sent_at > node.report / 2:
                 # Neither an answer nor a report since: nothing more is placed there until it is heard again.
                 machine.suspect = True
+                self.picture.stale.add(machine.id)
             if status != -1:
                 # It may still be on its way: from here on only reports with a higher token prove anything.
                 machine.token = max(machine.token, token + 1)
@@ -380,8 +414,9 @@
 
     def tick(self) -> None:
         node = self.node
-        if not self.membership.entitled():
+        if not self.membership.entitled() or node.now - self._looked_at < LOOK_EVERY:
             return
+        self._looked_at = node.now
         for name in {*self.picture.on_machine, *self.picture.machines}:
             if self.membership.owner(name) == node.name:
                 self._watch_over(self.machine(name))
@@ -429,3 +464,4 @@
         if known is not None:
             self.ledger.put_machine(name, msgspec.structs.replace(known, use=MachineUse.GONE))
         self.machines.pop(name, None)
+        self.picture.stale.add(name)
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -9,19 +9,31 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from datetime import timedelta
 
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Change
+from gladecroft.bookkeeping.picture import Change, Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.messages import Asked
 from gladecroft.coordination.node import Node
-from gladecroft.protocol import wire
+from gladecroft.protocol import peers, wire
 
 log = logging.getLogger(__name__)
 
 MAX_BYTES = 52_000
+#: Transactions are begun at most this often; unless something has changed, much less often.
+FLUSH_EVERY = timedelta(milliseconds=80)
+FLUSH_IDLE = timedelta(milliseconds=400)
+#: While writes are short, ends of a job's tasks are gathered this long, so that one write holds many.
+GATHER = timedelta(milliseconds=900)
+#: How often homes are told of ends, when they are told again, and when an owner whom the home does not answer notes
+#: them itself.
+TELL_EVERY = timedelta(milliseconds=150)
+TELL_AGAIN = timedelta(seconds=2)
+TELL_IN_VAIN = timedelta(milliseconds=1500)
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -38,6 +50,11 @@
         self.picture = node.picture
         self.membership = membership
         self.exits: dict[tuple[str, int, int], Outcome] = {}
+        self._exit_since: dict[tuple[str, int, int], timedelta] = {}
+        #: When the home of an attempt's job was last told of its end, and which ends it has taken in.
+        self._told: dict[tuple[str, int, int], timedelta] = {}
+        self._with_home: set[tuple[str, int, int]] = set()
+        self._told_at = timedelta(days=-1)
         #: Machines that the cloud has taken back by this controller's request: their attempts are gone for good.
         self.gone: dict[str, None] = {}
         self.machine_puts: dict[str, rec.MachineRecord | None] = {}
@@ -46,24 +63,109 @@
         self.busy = False
         self._stale: deque[str] = deque()
         self._reading = 0
+        self._flushed_at = timedelta(days=-1)
+        self._seen: tuple[int, int, int] = (-1, 0, 0)
 
     def exit(self, job: str, number: int, attempt: int, outcome: Outcome) -> None:
         """Note that an attempt is proven gone."""
-        self.exits.setdefault((job, number, attempt), outcome)
+        key = (job, number, attempt)
+        if key not in self.exits:
+            self.exits[key] = outcome
+            self._exit_since[key] = self.node.now
+
+    def _settle(self, key: tuple[str, int, int]) -> None:
+        del self.exits[key]
+        del self._exit_since[key]
+        self._told.pop(key, None)
+        self._with_home.discard(key)
 
     def epoch_changed(self, continuous: bool) -> None:
-        """Drop proofs about machines that are, or were meanwhile, another's: it may have started the attempt again."""
+        """Drop proofs about machines that are, or were meanwhile, another's: it may have started the attempt again.
+
+        So go those that other owners told of: they hold under the epoch in which they were told.
+        """
+        self._told.clear()
+        self._with_home.clear()
         for name, number, attempt in list(self.exits):
             job = self.picture.jobs.get(name)
             machine = "" if job is None else job.task(number).machine
             ours = continuous and self.membership.owner(machine) == self.node.name
             if machine not in self.gone and not ours:
-                del self.exits[(name, number, attempt)]
+                self._settle((name, number, attempt))
+        self.picture.stale.update(self.machine_puts)
         self.machine_puts.clear()
 
+    # Between owners and homes -------------------------------------------------------------------------------
+
+    def tell(self) -> None:
+        """Tell the homes of other jobs which of their attempts are proven gone here.
+
+        A home alone writes its teams' records. When each owner wrote the ends on its own machines, most commits of a
+        large fleet failed because another controller had just changed the same team or job.
+        """
+        node, epoch = self.node, self.picture.epoch
+        if not self.exits or node.now - self._told_at < TELL_EVERY or epoch is None or not self.membership.entitled():
+            return
+        self._told_at = node.now
+        batches: dict[str, list[peers.EndedAttempt]] = {}
+        for key, outcome in self.exits.items():
+            job = self.picture.jobs.get(key[0])
+            home = None if job is None else self.membership.job_home(job.spec)
+            last = self._told.get(key)
+            if home is None or home == node.name or last is not None and node.now - last < TELL_AGAIN:
+                continue
+            batch = batches.setdefault(home, [])
+            if len(batch) < peers.MOST_ENDED:
+                batch.append(peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed))
+                self._told[key] = node.now
+        for home, batch in batches.items():
+            self._tell(home, epoch.number, batch)
+
+    def _tell(self, home: str, epoch: int, batch: list[peers.EndedAttempt]) -> None:
+        keys = [(ended.job, ended.number, ended.attempt) for ended in batch]
+
+        def then(status: int, body: bytes) -> None:
+            now_epoch = self.picture.epoch
+            if now_epoch is None or now_epoch.number != epoch:
+                return
+            if status == 200:
+                self._with_home.update(key for key in keys if key in self.exits)
+            else:
+                self._with_home.difference_update(keys)
+
+        self.node.peer(home, peers.ENDED_PATH, wire.encode(peers.Ended(epoch, batch)), then)
+
+    def told(self, asked: Asked) -> None:
+        """A sibling tells of ends on its machines. What it proves holds as long as nobody else has come to own them:
+        so it counts under the epoch named, and the commit that rests on it is conditional on that epoch."""
+        try:
+            message: peers.Ended = wire.decode(peers.Ended, asked.body)
+        except msgspec.DecodeError as error:
+            self.node.refuse(asked.number, 400, str(error))
+            return
+        epoch = self.picture.epoch
+        if epoch is None or epoch.number != message.epoch or not self.membership.entitled():
+            self.node.refuse(asked.number, 503, "another epoch", 1)
+            return
+        for ended in message.attempts:
+            job = self.picture.jobs.get(ended.job)
+            if job is not None and 0 <= ended.number < job.spec.tasks:
+                outcome = Outcome(ended.done, ended.note, ended.failed)
+                self.exit(ended.job, ended.number, ended.attempt, outcome)
+        self.node.reply(asked.number, 200, b"{}")
+
+    def _left_to_home(self, key: tuple[str, int, int], job: Job) -> bool:
+        """Whether an end is the home's to note: it knows of it, or will soon."""
+        if self.membership.job_home(job.spec) == self.node.name:
+            return False
+        return key in self._with_home or self.node.now - self._exit_since[key] < TELL_IN_VAIN
+
+    # Machines -----------------------------------------------------------------------------------------------
+
     def put_machine(self, machine: str, record: rec.MachineRecord | None) -> None:
         if record is None or self.picture.machines.get(machine) != record:
             self.machine_puts[machine] = record
+            self.picture.stale.add(machine)
 
     def machine(self, machine: str) -> rec.MachineRecord | None:
         """The machine's record as it will be once what is noted is committed."""
@@ -76,44 +178,78 @@
         self._read_stale()
         if self.busy or self._reading or self._stale or not self.membership.entitled() or node.state_down():
             return
+        seen = (self.picture.changes, len(self.exits), len(self.machine_puts))
+        if node.now - self._flushed_at < (FLUSH_EVERY if seen != self._seen else FLUSH_IDLE):
+            return
         budget = int(node.writes.look(node.now))
-        if budget < min(4, node.cluster.state.txn_ops):
+        ops = node.cluster.state.txn_ops
+        urgent = self._urgent()
+        if budget < min(4 if urgent else ops // 2, ops, int(node.writes.burst)):
             return
-        change = Change(self.picture, min(node.cluster.state.txn_ops, budget), MAX_BYTES)
+        self._flushed_at, self._seen = node.now, seen
+        change = Change(self.picture, min(ops, budget), MAX_BYTES)
         node.lend()
-        self._compose_exits(change)
+        self._compose_exits(change, change.max_ops // 2 if urgent else 0)
         self._compose_machines(change)
         self._compose_finals(change)
-        self._compose_orphans(change)
         for composer in self.composers:
             composer(change)
+        self._compose_orphans(change)
         if change.finish():
             self._commit(change)
 
-    def _compose_exits(self, change: Change) -> None:
-        # After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them.
+    def _urgent(self) -> bool:
+        """Whether work of the highest priority waits here."""
         me = self.node.name
-        urgent = any(
-            job.queued_count and not job.rank and self.membership.job_home(job.spec) == me
-            for job in self.picture.jobs.values()
-        )
-        reserve = change.max_ops // 2 if urgent else 0
-        for (name, number, attempt), outcome in list(self.exits.items()):
+        return any(not job.rank and self.membership.job_home(job.spec) == me for job in self.picture.queued.values())
+
+    def _compose_exits(self, change: Change, reserve: int) -> None:
+        """Work ends into the transaction, as many of a chunk's as are known in one write.
+
+        After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them,
+        so some operations are held in reserve for it.
+        """
+        node = self.node
+        groups: dict[tuple[str, int], list[tuple[int, int, Outcome]]] = {}
+        since: dict[tuple[str, int], timedelta] = {}
+        for key, outcome in list(self.exits.items()):
+            name, number, attempt = key
             job = self.picture.jobs.get(name)
-            task = None if job is None else change.task(job, number)
+            task = None if job is None else job.task(number)
             if job is None or task is None or not task.machine or task.attempt != attempt:
-                del self.exits[(name, number, attempt)]
+                self._settle(key)
+                continue
+            if self._left_to_home(key, job):
+                continue
+            group = (name, number // job.size)
+            groups.setdefault(group, []).append((number, attempt, outcome))
+            since.setdefault(group, self._exit_since[key])
+        plenty = node.writes.level >= 0.75 * node.writes.burst
+
+        def turn(group: tuple[str, int]) -> tuple[int, timedelta]:
+            job = self.picture.jobs[group[0]]
+            ended = groups[group]
+            if job.done + sum(outcome.done for _, _, outcome in ended) >= job.spec.tasks:
+                return 0, since[group]  # its user waits for this
+            return (1 if any(not outcome.done for _, _, outcome in ended) else 2), since[group]
+
+        for group in sorted(groups, key=turn):
+            if not plenty and turn(group)[0] == 2 and node.now - since[group] < GATHER:
                 continue
-            chunks = 0 if change.has_chunk(job, number) else 1
+            job = self.picture.jobs[group[0]]
+            first = groups[group][0][0]
+            chunks = 0 if change.has_chunk(job, first) else 1
             if not change.room(chunks + reserve, 0 if change.has_team(job.spec.team) else 1):
                 continue
-            if outcome.done:
-                after = TaskRecord(TaskState.DONE, attempt, "", task.failures)
-            else:
-                failures = task.failures + 1 if outcome.failed else task.failures
-                after = TaskRecord(TaskState.QUEUED, attempt, "", min(failures, 999), outcome.note[:24])
-            change.set_task(job, number, after)
-            change.notes.append(f"{name}/{number}#{attempt} on {task.machine} ended: {outcome.note or 'done'}")
+            for number, attempt, outcome in groups[group]:
+                task = change.task(job, number)
+                if outcome.done:
+                    after = TaskRecord(TaskState.DONE, attempt, "", task.failures)
+                else:
+                    failures = task.failures + 1 if outcome.failed else task.failures
+                    after = TaskRecord(TaskState.QUEUED, attempt, "", min(failures, 999), outcome.note[:24])
+                change.set_task(job, number, after)
+                change.notes.append(f"{job.id}/{number}#{attempt} on {task.machine} ended: {outcome.note or 'done'}")
 
     def _compose_machines(self, change: Change) -> None:
         for machine, record in list(self.machine_puts.items()):
@@ -124,16 +260,20 @@
                     change.drop(rec.machine_key(machine))
                 else:
                     del self.machine_puts[machine]
+                    self.picture.stale.add(machine)
             elif self.picture.machines.get(machine) == record:
                 del self.machine_puts[machine]
+                self.picture.stale.add(machine)
             else:
                 change.put(rec.machine_key(machine), record)
                 change.notes.append(f"{machine} is {record.use.name.lower()}")
 
     def _compose_finals(self, change: Change) -> None:
         me = self.node.name
-        for job in list(self.picture.jobs.values()):
-            if not job.over or self.membership.job_home(job.spec) != me:
+        short = self.node.writes.level < 0.75 * self.node.writes.burst
+        # A finished job's user waits for this; a cancelled one's does not.
+        for job in sorted(self.picture.over.values(), key=lambda job: job.cancelled):
+            if self.membership.job_home(job.spec) != me:
                 continue
             if any(change.has_chunk(job, index * job.size) for index in job.chunks):
                 continue
@@ -147,15 +287,15 @@
             change.require(rec.final_key(job.id), 0)
             change.puts[rec.job_key(job.id)] = None
             for index in job.chunks:
-                # What does not fit is left behind and dropped later as an orphan.
-                if not change.room(1, 0):
+                # What does not fit, or has time while writes are short, is dropped later as an orphan.
+                if short or not change.room(1, 0):
                     break
                 change.require(rec.chunk_key(job.id, index), job.versions[index])
                 change.puts[rec.chunk_key(job.id, index)] = None
             change.notes.append(f"{job.id} is over: {'done' if done else 'cancelled'}")
 
     def _compose_orphans(self, change: Change) -> None:
-        if not self.membership.leads():
+        if not self.membership.leads() or self.node.writes.level < 0.75 * self.node.writes.burst:
             return
         for key, version in self.picture.orphans():
             if not change.room(1, 0):
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -64,6 +64,8 @@
         self._lag: tuple[timedelta, int] | None = None
         self._members_list: list[str] = []
         self._members_by_zone: dict[str, list[str]] = {}
+        self._owners: dict[tuple[str, str], str] = {}
+        self._homes: dict[str, str] = {}
         self._zones = {peer.name: peer.zone for peer in node.platform.peers} | {node.name: node.platform.zone}
 
     # Questions -----------------------------------------------------------------------------------------------
@@ -116,13 +118,34 @@
         if moved in epoch.members:
             return moved
         known = self.picture.machines.get(machine)
-        near = self._members_by_zone.get(known.zone if known is not None else zone or "")
-        return by_hash(near or self._members_list, machine)
+        where = (machine, known.zone if known is not None else zone or "")
+        owner = self._owners.get(where)
+        if owner is None:
+            if len(self._owners) > 4 * len(self.picture.machines) + 1000:
+                self._owners.clear()
+            near = self._members_by_zone.get(where[1])
+            owner = self._owners[where] = by_hash(near or self._members_list, machine)
+        return owner
 
     def home(self, team: str) -> str | None:
         """The controller that places the tasks of a team's jobs: one for the whole team, so that its limit and the
         order of its jobs are not fought over."""
-        return by_hash(self._members_list, team) if self._members_list else None
+        home = self._homes.get(team)
+        if home is None and self._members_list:
+            home = by_hash(self._members_list, team)
+        return home
+
+    def _share_out_teams(self) -> None:
+        """Give each team its home by hash, but no controller more than its share of the teams."""
+        self._homes = {}
+        if not self._members_list:
+            return
+        most = -(-len(self.picture.limits) // len(self._members_list))
+        held = dict.fromkeys(self._members_list, 0)
+        for team in sorted(self.picture.limits):
+            home = by_hash([member for member in self._members_list if held[member] < most], team)
+            self._homes[team] = home
+            held[home] += 1
 
     def job_home(self, spec: JobSpec) -> str | None:
         """The controller that places this job's tasks; gangs go whole to the leader."""
@@ -342,6 +365,8 @@
         self._members_by_zone = {}
         for name in self._members_list:
             self._members_by_zone.setdefault(self._zones.get(name) or "?", []).append(name)
+        self._owners.clear()
+        self._share_out_teams()
         if epoch is not None:
             self.node.share(len(epoch.members), epoch.leader == self.node.name)
             self._wanted_moves.clear()
--- a/src/gladecroft/coordination/messages.py
+++ b/src/gladecroft/coordination/messages.py
@@ -17,6 +17,8 @@
     HEALTH = "health"
     REPORT = "report"
     VIEW = "view"
+    #: A sibling tells of attempts that are proven gone.
+    ENDED = "ended"
 
 
 class Asked(msgspec.Struct):
@@ -51,6 +53,7 @@
     STATE = "state"
     CLOUD = "cloud"
     WORKER = "worker"
+    PEER = "peer"
 
 
 class Reply(msgspec.Struct):
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -19,6 +19,7 @@
 STATE_LIMIT = timedelta(seconds=1.2)
 CLOUD_LIMIT = timedelta(seconds=6)
 WORKER_LIMIT = timedelta(seconds=2)
+PEER_LIMIT = timedelta(seconds=1)
 LEND = 1.7
 LEND_AFTER = timedelta(seconds=10)
 #: Two steady clocks may disagree by twice the drift of one.
@@ -76,6 +77,7 @@
         self.cloud_calls = Budget(cloud.rps / nodes, cloud.rps)
         self._write_share = self.writes.rate
         self._refused_at: timedelta | None = None
+        self._peer_addrs = {peer.name: peer.peer_addr for peer in platform.peers}
         self._effects: list[Effect] = []
         self._calls: dict[int, tuple[Handler, Target]] = {}
         self._next_call = 0
@@ -137,6 +139,14 @@
     def worker(self, addr: str, path: str, body: bytes, then: Handler) -> None:
         self._call(Target.WORKER, "POST", path, body, WORKER_LIMIT, then, addr)
 
+    def peer(self, name: str, path: str, body: bytes, then: Handler) -> bool:
+        """Tell a sibling something; False if its address is not known."""
+        addr = self._peer_addrs.get(name)
+        if addr is None:
+            return False
+        self._call(Target.PEER, "POST", path, body, PEER_LIMIT, then, addr)
+        return True
+
     def answered(self, call: int, status: int, body: bytes) -> None:
         known = self._calls.pop(call, None)
         if known is None:
--- a/src/gladecroft/coordination/placement.py
+++ b/src/gladecroft/coordination/placement.py
@@ -7,6 +7,10 @@
 
 from __future__ import annotations
 
+from bisect import insort
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
 import msgspec
 
 TINY = 1e-6
@@ -62,9 +66,13 @@
     coming_cpus: float = 0.0
     coming_gpus: float = 0.0
     coming_memory: float = 0.0
+    #: What residents outside their guarantee hold: the most that evictions could bring.
+    borrowed_cpus: float = 0.0
 
     def count(self, line: int) -> None:
         """Work out what is free, what stopping tasks will free, and the core use of high-priority work."""
+        self.residents.sort(key=lambda task: task.placed)
+        self.borrowed_cpus = 0.0
         self.free_cpus, self.free_gpus, self.free_memory = self.cpus, self.gpus, self.memory_gb
         self.high_cpus = self.coming_cpus = self.coming_gpus = self.coming_memory = 0.0
         for task in self.residents:
@@ -77,6 +85,8 @@
                 self.coming_cpus += task.cpus
                 self.coming_gpus += task.gpus
                 self.coming_memory += task.memory_gb
+            elif not task.guaranteed:
+                self.borrowed_cpus += task.cpus
 
     def fits(self, need: Need) -> bool:
         return (
@@ -140,10 +150,12 @@
 def victims_on(slot: Slot, need: Need) -> list[Resident] | None:
     """The tasks to evict so that the need fits, oldest-placed first; None if it can't be made to fit."""
     cpus = slot.free_cpus + slot.coming_cpus
+    if need.cpus > cpus + slot.borrowed_cpus + TINY:
+        return None
     gpus = slot.free_gpus + slot.coming_gpus
     memory = slot.free_memory + slot.coming_memory
     chosen: list[Resident] = []
-    for task in sorted(slot.residents, key=lambda task: task.placed):
+    for task in slot.residents:  # oldest-placed first
         if need.cpus <= cpus + TINY and need.gpus <= gpus + TINY and need.memory_gb <= memory + TINY:
             break
         if may_evict(need, task):
@@ -166,6 +178,11 @@
         self.top = top
         self.avoid_evictions = avoid_evictions
 
+    @staticmethod
+    def rank(need: Need, slot: Slot) -> tuple[Any, ...]:
+        """Its own part first, then by the core use of high-priority work, busiest first."""
+        return slot.owner != need.home, -slot.high_cpus, slot.machine
+
     def offers(self, need: Need, slots: list[Slot]) -> list[Offer]:
         offers: list[Offer] = []
         for slot in slots:
@@ -177,14 +194,7 @@
                     victims = victims_on(slot, need)
                     if victims:
                         offers.append(Offer(slot, victims))
-        offers.sort(
-            key=lambda offer: (
-                self.avoid_evictions and bool(offer.victims),
-                offer.slot.owner != need.home,
-                -offer.slot.high_cpus,
-                offer.slot.machine,
-            )
-        )
+        offers.sort(key=lambda offer: (self.avoid_evictions and bool(offer.victims), *self.rank(need, offer.slot)))
         return offers[: self.top]
 
 
@@ -200,24 +210,61 @@
             offers, key=lambda offer: (offer.evictions(), not offer.slot.spot, need.image not in offer.slot.images)
         )
 
+    @staticmethod
+    def rank(need: Need, slot: Slot) -> tuple[Any, ...]:
+        """Machines without high-priority work first, among them cheap ones, then one's own part, cached images and
+        full machines."""
+        return (
+            slot.high_cpus > TINY,
+            not slot.spot,
+            slot.owner != need.home,
+            need.image not in slot.images,
+            slot.free_cpus,
+            slot.machine,
+        )
+
     def place(self, need: Need, slots: list[Slot]) -> Offer | None:
         """A machine without high-priority work if there is one; among those cheap ones, so that dear ones empty and
         can be returned, then cached images and full machines."""
         fitting = [slot for slot in slots if slot.fits(need)]
         if fitting:
-            best = min(
-                fitting,
-                key=lambda slot: (
-                    slot.high_cpus > TINY,
-                    not slot.spot,
-                    slot.owner != need.home,
-                    need.image not in slot.images,
-                    slot.free_cpus,
-                    slot.machine,
-                ),
-            )
-            return Offer(best, [])
+            return Offer(min(fitting, key=lambda slot: self.rank(need, slot)), [])
+        return self.push(need, slots)
+
+    def push(self, need: Need, slots: Iterable[Slot]) -> Offer | None:
+        """The machine with the fewest evictions; work of low priority pushes others away only for a guarantee."""
         if not need.guaranteed:
             return None
         chances = [Offer(slot, victims) for slot in slots if (victims := victims_on(slot, need))]
         return min(chances, key=lambda offer: (offer.evictions(), offer.slot.machine), default=None)
+
+
+class Ranking:
+    """The machines that hold a need without eviction, best first.
+
+    The tasks of a job are alike, so their machines are ranked once for all of them; a machine that has taken one is
+    put where it then belongs.
+    """
+
+    def __init__(self, need: Need, slots: Iterable[Slot], rank: Callable[[Need, Slot], tuple[Any, ...]]) -> None:
+        self._need = need
+        self._rank = rank
+        # Ranks end in the machine's name, so no two are alike and slots are never compared.
+        self._order = sorted((rank(need, slot), slot) for slot in slots if slot.fits(need))
+
+    def __bool__(self) -> bool:
+        return bool(self._order)
+
+    def __iter__(self) -> Iterator[Slot]:
+        return (slot for _, slot in self._order)
+
+    def take(self, slot: Slot, line: int) -> None:
+        """Set the need's room aside on a slot."""
+        index = next(index for index, entry in enumerate(self._order) if entry[1] is slot)
+        del self._order[index]
+        slot.take(self._need, line)
+        if slot.fits(self._need):
+            insort(self._order, (self._rank(self._need, slot), slot))
+
+    def drop(self, unwanted: Callable[[Slot], bool]) -> None:
+        self._order = [entry for entry in self._order if not unwanted(entry[1])]
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -8,11 +8,12 @@
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.picture import Change, Job
 from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
+from gladecroft.coordination.floor import Floor
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
-from gladecroft.coordination.placement import HighPlacer, LowSide, Need, Offer, Resident, Slot
+from gladecroft.coordination.placement import TINY, HighPlacer, LowSide, Need, Offer, Ranking, Resident, Slot
 from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, Kind, MachineType
 
 log = logging.getLogger(__name__)
@@ -24,6 +25,8 @@
 CAN_WAIT = 100
 MOVED = "moved from"
 MOVES_AT_ONCE = 2
+#: In a large fleet one more service may move at a time for so many machines.
+MACHINES_PER_MOVE = 20
 
 
 class Placers:
@@ -33,13 +36,16 @@
         self.membership = membership
         self.keeper = keeper
         self.ledger = ledger
-        self.types: dict[str, MachineType] = {}
         self.line = PRIORITY_RANK[node.operator.priority_line]
+        self.floor = Floor(node, membership, keeper, ledger, self.line)
+        self.allowed = self.floor.allowed
         self.high = HighPlacer(node.operator.offer_top, node.operator.spot_avoiding)
         self.low = LowSide()
         self.waits: dict[str, str] = {}
         self._retry: dict[tuple[str, int, int], timedelta] = {}
-        self._images: dict[str, dict[str, None]] = {}
+        self._aim_spans: dict[tuple[str, str], list[float]] = {}
+        #: Needs for which this round has found no room, by what kind of room it looked for.
+        self._no_room: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
         self._patiences: dict[str, float] = {}
         ledger.composers.append(self.drain)
         ledger.composers.append(self.mend_gangs)
@@ -53,27 +59,13 @@
         if not self.types:
             return False
         for kind in self.types.values():
-            if self._type_allowed(spec, kind) and (spec.zone is None or spec.zone in kind.zones):
+            if self.floor.type_allowed(spec, kind) and (spec.zone is None or spec.zone in kind.zones):
                 return None
         return "a task fits no allowed machine type"
 
-    @staticmethod
-    def _type_allowed(spec: JobSpec, kind: MachineType) -> bool:
-        return (
-            (spec.types is None or kind.name in spec.types)
-            and spec.cpus <= kind.cpus
-            and spec.gpus <= kind.gpus
-            and spec.memory_gb <= kind.memory_gb
-        )
-
-    def allowed(self, spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
-        kind = self.types.get(type_name)
-        return (
-            kind is not None
-            and self._type_allowed(spec, kind)
-            and (spec.zone is None or spec.zone == zone)
-            and (spec.spot or not spot)
-        )
+    @property
+    def types(self) -> dict[str, MachineType]:
+        return self.floor.types
 
     def order(self, jobs: list[Job], guaranteed: set[str]) -> list[Job]:
         """Work within a guarantee first, then by priority, then by what can still be on time, little work first.
@@ -101,11 +93,16 @@
         return sum(age >= limit for limit in limits), work
 
     def _aims(self, job: Job, kind: str) -> list[float]:
-        return [
-            aim.within_s
-            for aim in self.node.cluster.objectives
-            if aim.job_class == job.spec.job_class and aim.kind == kind and aim.within_s > 0
-        ]
+        spans = self._aim_spans.get((job.spec.job_class, kind))
+        if spans is None:
+            spans = self._aim_spans[(job.spec.job_class, kind)] = [
+                aim.within_s
+                for aim in self.node.cluster.objectives
+                if aim.job_class == job.spec.job_class and aim.kind == kind and aim.within_s > 0
+            ]
+            if len(self._aim_spans) > 1000:
+                self._aim_spans.clear()
+        return spans
 
     def _has_started(self, job: Job) -> bool:
         """Whether the aim for this job's start is behind it: as many tasks have started as may run at once."""
@@ -115,8 +112,7 @@
         limit = self.picture.limits.get(job.spec.team)
         if limit is not None and job.spec.cpus > 0:
             most = min(most, int((limit.cpus_max + 1e-6) / job.spec.cpus))
-        begun = sum(task.attempt > 0 for chunk in job.chunks.values() for task in chunk)
-        return begun >= most
+        return job.begun >= most
 
     def patience(self, job: Job) -> float:
         """The shortest time that the aims give a job of this class."""
@@ -139,62 +135,69 @@
     # Draining ------------------------------------------------------------------------------------------------
 
     def drain(self, change: Change) -> None:
-        """Stop what runs on our machines that are about to go or are taken out of use."""
-        for name, record in self.picture.machines.items():
-            if record.use not in (MachineUse.LEAVING, MachineUse.BAD):
-                continue
-            if self.membership.owner(name) != self.node.name:
+        """Stop what of our jobs runs on machines that are about to go or are taken out of use.
+
+        The home does it, not the machine's owner, so that a team's records have one writer.
+        """
+        for name, use in self.picture.aside.items():
+            if use not in (MachineUse.LEAVING, MachineUse.BAD):
                 continue
-            why = "notice" if record.use is MachineUse.LEAVING else "bad machine"
+            why = "notice" if use is MachineUse.LEAVING else "bad machine"
             for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
                 job = self.picture.jobs[job_name]
-                if task.state is TaskState.ACTIVE and not job.cancelled:
+                if task.state is not TaskState.ACTIVE or job.cancelled:
+                    continue
+                if self.membership.job_home(job.spec) == self.node.name:
                     self._stop(change, job, number, f"{why} {name}")
 
     def move(self, change: Change) -> None:
         """Move our services off machines that are being emptied, a few at a time and only to where there is room."""
         me = self.node.name
-        emptying = [name for name, record in self.picture.machines.items() if record.use is MachineUse.EMPTYING]
+        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
         if not emptying:
             return
-        mine = [job for job in self.picture.jobs.values() if self.membership.job_home(job.spec) == me]
-        if any(job.queued_count for job in mine if job.spec.kind is Kind.SERVICE):
+        if any(
+            job.spec.kind is Kind.SERVICE and self.membership.job_home(job.spec) == me
+            for job in self.picture.queued.values()
+        ):
             return
+        at_once = max(MOVES_AT_ONCE, len(self.picture.machines) // MACHINES_PER_MOVE)
         on_the_way = sum(
             task.state is TaskState.STOPPING and task.note.startswith(MOVED)
-            for job in mine
-            if job.spec.kind is Kind.SERVICE
+            for job in self.picture.jobs.values()
+            if job.counts[TaskState.STOPPING]
+            and job.spec.kind is Kind.SERVICE
+            and self.membership.job_home(job.spec) == me
             for _, task in job.placed()
         )
         guaranteed = self.picture.guaranteed()
-        slots = self.slots(guaranteed)
+        self.floor.refresh(guaranteed)
         for name in emptying:
             for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
-                if on_the_way >= MOVES_AT_ONCE:
+                if on_the_way >= at_once or not change.room(1, 0):
                     return
                 job = self.picture.jobs[job_name]
                 if job.spec.kind is not Kind.SERVICE or task.state is not TaskState.ACTIVE or job.cancelled:
                     continue
                 if self.membership.job_home(job.spec) != me:
                     continue
-                offer = self._where_else(job, job_name in guaranteed, slots, self.picture.machines[name].zone)
+                offer = self._where_else(job, job_name in guaranteed, self.picture.machines[name].zone)
                 if offer is not None and self._stop(change, job, number, f"{MOVED} {name}"):
+                    self._take(offer.slot)
                     offer.slot.take(self._need(job, job_name in guaranteed, me), self.line)
                     on_the_way += 1
 
-    def _where_else(self, job: Job, inside: bool, slots: dict[str, Slot], zone: str) -> Offer | None:
+    def _where_else(self, job: Job, inside: bool, zone: str) -> Offer | None:
         zones = self.zones_used(job)
         zones[zone] = zones.get(zone, 0) - 1
         cap = job.spec.zone_cap()
+        need = self._need(job, inside, self.node.name)
         usable = [
             slot
-            for slot in slots.values()
-            if self.allowed(job.spec, self.picture.machines[slot.machine].type, slot.zone, slot.spot)
-            and zones.get(slot.zone, 0) < cap
-            and (not job.spec.one_zone or slot.zone == zone)
+            for slot in self.floor.usable(job.spec)
+            if slot.fits(need) and zones.get(slot.zone, 0) < cap and (not job.spec.one_zone or slot.zone == zone)
         ]
-        need = self._need(job, inside, self.node.name)
-        return self.low.choose(need, self.high.offers(need, [slot for slot in usable if slot.fits(need)]))
+        return self.low.choose(need, self.high.offers(need, usable))
 
     @staticmethod
     def _need(job: Job, inside: bool, home: str) -> Need:
@@ -214,51 +217,6 @@
 
     # Placing -------------------------------------------------------------------------------------------------
 
-    def slots(self, guaranteed: set[str]) -> dict[str, Slot]:
-        """The machines that may be offered: in use and, in our own part, heard in this epoch."""
-        slots: dict[str, Slot] = {}
-        for name, record in self.picture.machines.items():
-            kind = self.types.get(record.type)
-            if kind is None or record.use is not MachineUse.UP or name in self.ledger.machine_puts:
-                continue
-            owner = self.membership.owner(name) or ""
-            mine = owner == self.node.name
-            images = self._images.setdefault(name, {})
-            if mine:
-                machine = self.keeper.machines.get(name)
-                # A taker-over offers a machine only after its report.
-                if machine is None or machine.report is None or machine.suspect:
-                    continue
-                images.update(machine.images)
-            residents = [
-                self._resident(self.picture.jobs[job_name], number, task, guaranteed)
-                for (job_name, number), task in self.picture.on_machine.get(name, {}).items()
-            ]
-            slot = Slot(
-                name,
-                record.zone,
-                record.spot,
-                mine,
-                owner,
-                kind.cpus,
-                kind.gpus,
-                kind.memory_gb,
-                set(images),
-                residents,
-            )
-            slot.count(self.line)
-            slots[name] = slot
-        for name in [name for name in self._images if name not in self.picture.machines]:
-            del self._images[name]
-        return slots
-
-    def _resident(self, job: Job, number: int, task: TaskRecord, guaranteed: set[str]) -> Resident:
-        spec = job.spec
-        stopping = task.state is TaskState.STOPPING or job.cancelled
-        return Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team,
-                        job.id in guaranteed, task.placed_s, stopping,
-                        job.occupied if spec.kind is Kind.GANG else 1)  # fmt: skip
-
     def place(self, change: Change) -> None:
         """Place our waiting tasks.
 
@@ -267,53 +225,82 @@
         by an eviction went to the next borrower, who was evicted again.
         """
         me = self.node.name
-        waiting = [job for job in self.picture.jobs.values() if job.queued_count]
-        self.waits = {name: why for name, why in self.waits.items() if name in self.picture.jobs}
+        if len(self.waits) > 2 * len(self.picture.queued) + 100:
+            self.waits = {name: why for name, why in self.waits.items() if name in self.picture.queued}
+        waiting = list(self.picture.queued.values())
         homes = {job.id: self.membership.job_home(job.spec) or "" for job in waiting}
         if me not in homes.values():
             return
         guaranteed = self.picture.guaranteed()
-        slots = self.slots(guaranteed)
+        self.floor.refresh(guaranteed)
+        self._no_room.clear()
         most = MOST_PER_ROUND
         for job in self.order(waiting, guaranteed):
             place = self._place_gang if job.spec.kind is Kind.GANG else self._place_job
-            most -= place(change, job, job.id in guaranteed, homes[job.id], slots, most)
-            if most <= 0:
+            most -= place(change, job, job.id in guaranteed, homes[job.id], most)
+            # Once the transaction is full there is nothing more to carry out; the next round plans anew.
+            if most <= 0 or not change.room(1, 0):
                 break
 
-    def _place_job(self, change: Change, job: Job, inside: bool, home: str, slots: dict[str, Slot], most: int) -> int:
+    def _take(self, slot: Slot) -> None:
+        """Note that this round plans on a slot: before the next it is worked out anew."""
+        self.picture.stale.add(slot.machine)
+
+    def _lacks_room(self, key: tuple[object, ...], need: Need) -> bool:
+        """Whether no room was found for a need in this round that is no bigger. Room only dwindles in a round."""
+        return any(
+            need.cpus >= cpus and need.gpus >= gpus and need.memory_gb >= memory
+            for cpus, gpus, memory in self._no_room.get(key, ())
+        )
+
+    def _place_job(self, change: Change, job: Job, inside: bool, home: str, most: int) -> int:
         """Place one job's waiting tasks as far as they go, or only set the room aside if it is another home's job."""
         spec = job.spec
         ours = home == self.node.name
         room = min(change.team_room(job), most)
         why = ""
-        zones = self.zones_used(job)
+        zones = self.zones_used(job) if spec.spread or spec.one_zone else {}
         cap = spec.zone_cap()
         need = self._need(job, inside, home)
-        usable = [
-            slot for slot in slots.values()
-            if self.allowed(spec, self.picture.machines[slot.machine].type, slot.zone, slot.spot)
-        ]  # fmt: skip
-        if spec.one_zone:
-            usable = self._one_zone(usable, zones, need, job)
+        high = need.rank <= self.line
         taken = evicted = 0
+        where = (
+            tuple(spec.types) if spec.types is not None else None,
+            spec.zone,
+            spec.spot,
+            # Zones that are full for this job are not looked at.
+            tuple(sorted(zone for zone, count in zones.items() if count >= cap)) if spec.spread else (),
+        )
+        push = (*where, need.rank, need.guaranteed, need.team)
+        ranking: Ranking | None = None
+        usable: list[Slot] = []
+        if room > 0 and not spec.one_zone and self._lacks_room(where, need) and self._lacks_room(push, need):
+            room = 0
+            why = "no machine has room"
         for number in job.queued_tasks():
             if taken >= room:
-                why = "the team's limit is used up"
+                why = why or "the team's limit is used up"
                 break
             before = change.task(job, number)
             if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
                 continue
-            there = [slot for slot in usable if zones.get(slot.zone, 0) < cap]
-            if before.failures:
-                there = [slot for slot in there if not before.note.endswith(slot.machine)] or there
-            offer = self._choose(need, there)
+            if ranking is None:
+                usable = list(self.floor.usable(spec))
+                if spec.one_zone:
+                    usable = self._one_zone(usable, zones, need, job)
+                elif spec.spread:
+                    usable = [slot for slot in usable if zones.get(slot.zone, 0) < cap]
+                ranking = Ranking(need, usable, self.high.rank if high else self.low.rank)
+            offer = self._choose(need, ranking, usable, before)
             if offer is None:
-                why = "no machine has room" if there else "no allowed machine is up"
+                if usable and not spec.one_zone and not (spec.spread and taken):
+                    for key in (where, push):
+                        self._no_room.setdefault(key, []).append((need.cpus, need.gpus, need.memory_gb))
+                why = "no machine has room" if usable else "no allowed machine is up"
                 break
             slot = offer.slot
             taken += 1
-            zones[slot.zone] = zones.get(slot.zone, 0) + 1
+            self._take(slot)
             if offer.victims:
                 evicted += self._evict(change, job, need, offer, ours)
                 why = "waiting for evicted work to stop"
@@ -323,10 +310,16 @@
             else:
                 if ours and not self._put(change, job, number, before, slot):
                     ours, why = False, "about to be placed"
-                slot.take(need, self.line)
+                ranking.take(slot, self.line)
                 slot.residents.append(
                     Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team, inside, 1 << 40)
                 )
+            if spec.spread:
+                zones[slot.zone] = zones.get(slot.zone, 0) + 1
+                if zones[slot.zone] >= cap:
+                    full = slot.zone
+                    usable = [slot for slot in usable if slot.zone != full]
+                    ranking.drop(lambda slot, full=full: slot.zone == full)  # type: ignore[misc]
         if home == self.node.name:
             if why:
                 self.waits[job.id] = why
@@ -337,7 +330,7 @@
                 log.info("%s evicts %d tasks", job.id, evicted)
         return taken
 
-    def _place_gang(self, change: Change, job: Job, inside: bool, home: str, slots: dict[str, Slot], most: int) -> int:
+    def _place_gang(self, change: Change, job: Job, inside: bool, home: str, most: int) -> int:
         """Place all of a gang's tasks in one transaction, or none; room is made for it only if all then fit."""
         tasks = list(job.queued_tasks())
         if len(tasks) + job.done < job.spec.tasks:
@@ -347,8 +340,12 @@
             self.waits[job.id] = "the team's limit leaves no room for the whole gang"
             return 0
         need = self._need(job, inside, home)
-        kept = {name: slot.room() for name, slot in slots.items()}
-        offers, pending = self._gang_offers(job, need, len(tasks), list(slots.values()))
+        slots = self.floor.slots
+        usable = list(self.floor.usable(job.spec))
+        kept = {slot.machine: slot.room() for slot in usable}
+        offers, pending = self._gang_offers(job, need, len(tasks), usable)
+        for offer in offers:
+            self._take(offer.slot)
         if len(offers) < len(tasks):
             for name, room in kept.items():
                 slots[name].set_room(room)
@@ -384,17 +381,13 @@
     def _gang_offers(self, job: Job, need: Need, count: int, slots: list[Slot]) -> tuple[list[Offer], bool]:
         """An offer for each task, as far as they go, with their room set aside, and whether any room must be freed."""
         zones, cap = self.zones_used(job), job.spec.zone_cap()
-        usable = [
-            slot
-            for slot in slots
-            if self.allowed(job.spec, self.picture.machines[slot.machine].type, slot.zone, slot.spot)
-        ]
-        if job.spec.one_zone:
-            usable = self._one_zone(usable, zones, need, job)
+        usable = self._one_zone(slots, zones, need, job) if job.spec.one_zone else slots
         offers: list[Offer] = []
         pending = False
         while len(offers) < count:
-            offer = self._choose(need, [slot for slot in usable if zones.get(slot.zone, 0) < cap])
+            there = [slot for slot in usable if zones.get(slot.zone, 0) < cap]
+            rank = self.high.rank if need.rank <= self.line else self.low.rank
+            offer = self._choose(need, Ranking(need, there, rank), there)
             if offer is None:
                 break
             if offer.slot.fits(need):
@@ -410,8 +403,8 @@
 
     def mend_gangs(self, change: Change) -> None:
         """A gang that has lost a task is stopped and queued whole."""
-        for job in self.picture.jobs.values():
-            if job.spec.kind is not Kind.GANG or job.cancelled or not job.queued_count or not job.occupied:
+        for job in self.picture.gangs.values():
+            if job.cancelled or not job.queued_count or not job.occupied:
                 continue
             if self.membership.job_home(job.spec) == self.node.name:
                 for number, task in list(job.placed()):
@@ -430,8 +423,11 @@
     def _put(self, change: Change, job: Job, number: int, before: TaskRecord, slot: Slot, bump: bool = True) -> bool:
         """Work a placement into the transaction; False if it has no room."""
         key = rec.machine_key(slot.machine)
-        # Another part's room is taken only by a write that changes the machine's record.
-        foreign = bump and not slot.mine and key not in change.puts
+        # Another part's room is taken only by a conditional write. A gang's also changes the machine's record; for
+        # single tasks a write for each machine would use up the state service's budget in a large fleet. Should two
+        # homes take the same room all the same, the worker refuses the second.
+        gang = job.spec.kind is Kind.GANG
+        foreign = bump and gang and not slot.mine and key not in change.puts
         teams = 0 if change.has_team(job.spec.team) else 1
         if not change.room((0 if change.has_chunk(job, number) else 1) + foreign, teams, 1):
             return False
@@ -442,23 +438,44 @@
         now_s = int(self.node.wall.timestamp())
         change.set_task(job, number, TaskRecord(TaskState.ACTIVE, attempt, slot.machine, before.failures, "", now_s))
         change.notes.append(f"{job.id}/{number}#{attempt} goes to {slot.machine}")
-        self._images.setdefault(slot.machine, {})[job.spec.image] = None
+        self.floor.note_image(slot.machine, job.spec.image)
         return True
 
-    def _choose(self, need: Need, slots: list[Slot]) -> Offer | None:
+    def _choose(
+        self, need: Need, ranking: Ranking, usable: list[Slot], before: TaskRecord | None = None
+    ) -> Offer | None:
+        """The two placers' choice for one task: where it fits, else where room comes up or can be made."""
+        shunned = before.note if before is not None and before.failures else ""
         if need.rank <= self.line:
-            fitting = any(slot.fits(need) for slot in slots)
+            fitting = self._top(ranking, shunned)
+            if fitting and self.high.avoid_evictions:
+                return self.low.choose(need, [Offer(slot, []) for slot in fitting])
             if not fitting:
-                for slot in slots:
-                    if slot.will_fit(need):
+                for slot in usable:
+                    if slot.coming_cpus > 0 and slot.will_fit(need):
                         return Offer(slot, [])
-            return self.low.choose(need, self.high.offers(need, slots))
-        offer = self.low.place(need, slots)
-        if offer is not None and offer.victims:
-            for slot in slots:
-                if slot.will_fit(need):
+            enough = [
+                slot for slot in usable if need.cpus <= slot.free_cpus + slot.coming_cpus + slot.borrowed_cpus + TINY
+            ]
+            return self.low.choose(need, self.high.offers(need, enough))
+        best = self._top(ranking, shunned)
+        if best:
+            return Offer(best[0], [])
+        if need.guaranteed:
+            for slot in usable:
+                if slot.coming_cpus > 0 and slot.will_fit(need):
                     return Offer(slot, [])
-        return offer
+        return self.low.push(need, usable)
+
+    def _top(self, ranking: Ranking, shunned: str) -> list[Slot]:
+        """The first N of a ranking; a machine on which the task has just failed only if there is no other."""
+        top: list[Slot] = []
+        for slot in ranking:
+            if not shunned or not shunned.endswith(slot.machine):
+                top.append(slot)
+                if len(top) >= self.high.top:
+                    break
+        return top or list(ranking)[:1]
 
     @staticmethod
     def _claim(slot: Slot, need: Need) -> None:
--- a/src/gladecroft/coordination/users.py
+++ b/src/gladecroft/coordination/users.py
@@ -31,6 +31,7 @@
 }
 RETRY_AFTER = {429: 10, 503: 1}
 CONFIRM_EVERY = timedelta(milliseconds=60)
+LOOK_EVERY = timedelta(milliseconds=100)
 READS_AT_ONCE = 16
 #: Requests that may wait, and accepted jobs that may be unfinished, for each MB that a controller may hold. A job
 #: with its tasks takes some kilobytes, in every controller.
@@ -59,6 +60,7 @@
         self._confirming = False
         self._changing = False
         self._confirmed_at = timedelta(days=-1)
+        self._looked_at = timedelta(days=-1)
         self.reason: Callable[[Job], str] = lambda job: ""
 
     def queue_lengths(self) -> dict[str, int]:
@@ -180,7 +182,10 @@
     def tick(self) -> None:
         node = self.node
         down = node.state_down()
-        for waiting in list(self._open.values()):
+        look = node.now - self._looked_at >= LOOK_EVERY
+        if look:
+            self._looked_at = node.now
+        for waiting in list(self._open.values()) if look else ():
             if down:
                 self._refuse(waiting, 503, "the state service does not answer", 2)
             elif node.now - waiting.since > WAIT_LIMIT[waiting.asked.verb]:
--- a/src/gladecroft/service.py
+++ b/src/gladecroft/service.py
@@ -29,7 +29,7 @@
     Watch,
     Watched,
 )
-from gladecroft.protocol import wire
+from gladecroft.protocol import peers, wire
 from gladecroft.protocol.settings import Operator, Platform, split_addr
 from gladecroft.transport.client import Client
 from gladecroft.transport.server import Request, Response, Server
@@ -60,6 +60,7 @@
         self._watch = Client(2, CONNECT_LIMIT)
         self._cloud = Client(4, CONNECT_LIMIT)
         self._workers = Client(1, CONNECT_LIMIT)
+        self._peers = Client(2, CONNECT_LIMIT)
         self._worker_limit = anyio.CapacityLimiter(max(8, sockets // 8))
         self._waiting: dict[int, Callable[[Reply], None]] = {}
         self._numbers = 0
@@ -119,6 +120,9 @@
             answer = await self._state.request(self._state_addr, call.method, call.path, call.body, call.limit)
         elif call.target is Target.CLOUD:
             answer = await self._cloud.request(self._cloud_addr, call.method, call.path, call.body, call.limit)
+        elif call.target is Target.PEER:
+            addr = split_addr(call.addr)
+            answer = await self._peers.request(addr, call.method, call.path, call.body, call.limit)
         else:
             async with self._worker_limit:
                 addr = split_addr(call.addr)
@@ -185,7 +189,10 @@
         return await self._ask(verb, b"", job) if wire.JOB_ID.match(job) else _refusal(404, "no such job")
 
     async def _handle_peer(self, request: Request) -> Response:
-        if urlsplit(request.path).path != VIEW_PATH:
+        path = urlsplit(request.path).path
+        if path == peers.ENDED_PATH:
+            return await self._ask(Verb.ENDED, request.body) if request.method == "POST" else _wrong_method("POST")
+        if path != VIEW_PATH:
             return _refusal(404, "no such path")
         return await self._ask(Verb.VIEW) if request.method == "GET" else _wrong_method("GET")
 
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -112,7 +112,7 @@
             table = {
                 "label": name,
                 "bind": "10.0.0.1:8080",
-                "siblings": [{"label": other, "peer_addr": "10.0.0.2:8081"} for other in names if other != name],
+                "siblings": [{"label": other, "peer_addr": f"{other}:8081"} for other in names if other != name],
                 "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
                 "settings": {
                     **PLATFORM,
@@ -125,6 +125,8 @@
             controller.state, controller.cloud, controller.workers = self.state, self.cloud, workers
             self.controllers.append(controller)
             world.at(seconds(0.1 * len(self.controllers)), controller.start)
+        for controller in self.controllers:
+            controller.peers = {f"{other.name}:8081": other for other in self.controllers}
         lease = PLATFORM["workers"]["lease_s"]
 
         def new_worker(name: str, kind: Kind, zone: str, spot: bool) -> Worker:
--- a/tests/world.py
+++ b/tests/world.py
@@ -88,6 +88,7 @@
         self.state: StateLike | None = None
         self.cloud: CloudLike | None = None
         self.workers: dict[str, WorkerLike] = {}
+        self.peers: dict[str, Controller] = {}
         self.core: Core | None = None
         self.life = 0
         self._numbers = 0
@@ -163,6 +164,14 @@
 
         self.world.later(call.limit, lambda: answer(0, b""))
         assert self.state is not None and self.cloud is not None
+        if call.target is Target.PEER:
+            peer = self.peers[call.addr]
+
+            def back(result: Reply) -> None:
+                self.world.send(peer.name, self.name, lambda: answer(result.status, result.body))
+
+            self.world.send(self.name, peer.name, lambda: peer.ask(Verb.ENDED, call.body or b"", "", back))
+            return
         if call.target is Target.WORKER:
             worker = self.workers.get(call.addr)
             if worker is None:
