--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -366,6 +366,8 @@
         self._chunks: dict[tuple[str, int], list[rec.TaskRecord]] = {}
         self._teams: dict[str, list[float]] = {}
         self.notes: list[str] = []
+        #: About what the changes take as JSON, counted as they come: asking for room must not cost a look at all.
+        self._size = 200
         self.require(rec.EPOCH, picture.epoch_version)
 
     def require(self, key: str, version: int | None = None) -> None:
@@ -378,11 +380,7 @@
         return ops <= self.max_ops and conditions <= self.max_conditions and self._bytes() < self.max_bytes
 
     def _bytes(self) -> int:
-        size = 200 + 160 * len(self.conditions) + 200 * len(self._teams)
-        size += sum(100 + len(value or b"") for value in self.puts.values())
-        for chunk in self._chunks.values():
-            size += 100 + sum(16 + len(task.machine) + len(task.note) for task in chunk)
-        return size
+        return self._size + 160 * len(self.conditions) + 200 * len(self._teams)
 
     def has_chunk(self, job: Job, number: int) -> bool:
         return (job.id, number // job.size) in self._chunks
@@ -393,6 +391,7 @@
     def put(self, key: str, value: Any) -> None:
         self.require(key)
         self.puts[key] = msgspec.json.encode(value)
+        self._size += 100 + len(self.puts[key] or b"")
 
     def drop(self, key: str) -> None:
         self.require(key)
@@ -410,10 +409,12 @@
             known = job.chunks.get(index)
             chunk = list(known) if known is not None else [_EMPTY] * job.chunk_length(index)
             self._chunks[(job.id, index)] = chunk
+            self._size += 100 + sum(16 + len(task.machine) + len(task.note) for task in chunk)
             self.require(rec.job_key(job.id), job.version)
             self.require(rec.chunk_key(job.id, index), job.versions.get(index, 0))
         before = chunk[offset]
         chunk[offset] = record
+        self._size += 16 + len(record.machine) + len(record.note)
         step = bool(record.machine) - bool(before.machine)
         if step:
             used = self._used(job.spec.team)
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -54,13 +54,13 @@
     cancelled: bool = False
 
 
-class FinalRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+class FinalRecord(msgspec.Struct, gc=False, frozen=True, omit_defaults=True):
     done: bool
     tasks: int = 0
     reason: str = ""
 
 
-class TaskRecord(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+class TaskRecord(msgspec.Struct, gc=False, frozen=True, array_like=True, omit_defaults=True):
     state: TaskState = TaskState.QUEUED
     attempt: int = 0
     machine: str = ""
@@ -73,7 +73,7 @@
     tasks: list[TaskRecord]
 
 
-class TeamRecord(msgspec.Struct, frozen=True):
+class TeamRecord(msgspec.Struct, gc=False, frozen=True):
     cpus: float = 0.0
     gpus: float = 0.0
 
@@ -96,7 +96,7 @@
     GONE = 6
 
 
-class MachineRecord(msgspec.Struct, frozen=True):
+class MachineRecord(msgspec.Struct, gc=False, frozen=True):
     type: str
     zone: str
     spot: bool
--- a/src/gladecroft/cli.py
+++ b/src/gladecroft/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import os
 import sys
@@ -60,6 +61,9 @@
     _log_to_stderr()
     from gladecroft.service import Service  # the other commands need no sockets
 
+    # Records make no cycles, and there are many of them: looking through them often takes much processor time.
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
     try:
         anyio.run(Service(platform, operator).run)
     except KeyboardInterrupt:
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -32,7 +32,7 @@
 BOUNCE_APART = timedelta(seconds=3)
 BOUNCE_WINDOW = timedelta(seconds=20)
 BODY_BUDGET = 48_000
-LOOK_EVERY = timedelta(milliseconds=200)
+LOOK_EVERY = timedelta(milliseconds=400)
 
 TaskKey = tuple[str, int]
 
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -25,7 +25,7 @@
 
 MAX_BYTES = 52_000
 #: Transactions are begun at most this often; unless something has changed, much less often.
-FLUSH_EVERY = timedelta(milliseconds=80)
+FLUSH_EVERY = timedelta(milliseconds=100)
 FLUSH_IDLE = timedelta(milliseconds=400)
 #: While writes are short, ends of a job's tasks are gathered this long, so that one write holds many.
 GATHER = timedelta(milliseconds=900)
--- a/src/gladecroft/coordination/placement.py
+++ b/src/gladecroft/coordination/placement.py
@@ -16,7 +16,7 @@
 TINY = 1e-6
 
 
-class Need(msgspec.Struct, frozen=True):
+class Need(msgspec.Struct, gc=False, frozen=True):
     """What one task takes, and whom it may push away. ``home``: the controller that places it."""
 
     cpus: float
@@ -29,7 +29,7 @@
     home: str = ""
 
 
-class Resident(msgspec.Struct, eq=False):
+class Resident(msgspec.Struct, gc=False, eq=False):
     """A task that is placed on a machine. ``stopping``: it has been told to go."""
 
     job: str
@@ -235,8 +235,20 @@
         """The machine with the fewest evictions; work of low priority pushes others away only for a guarantee."""
         if not need.guaranteed:
             return None
-        chances = [Offer(slot, victims) for slot in slots if (victims := victims_on(slot, need))]
-        return min(chances, key=lambda offer: (offer.evictions(), offer.slot.machine), default=None)
+        best: Offer | None = None
+        fewest = 0
+        for slot in slots:
+            if need.cpus > slot.free_cpus + slot.coming_cpus + slot.borrowed_cpus + TINY:
+                continue
+            victims = victims_on(slot, need)
+            if victims:
+                offer = Offer(slot, victims)
+                count = offer.evictions()
+                if best is None or count < fewest:
+                    best, fewest = offer, count
+                    if count == 1:
+                        break  # fewer there are not
+        return best
 
 
 class Ranking:
--- a/src/gladecroft/coordination/users.py
+++ b/src/gladecroft/coordination/users.py
@@ -30,7 +30,7 @@
     Verb.POLL: timedelta(seconds=1.4),
 }
 RETRY_AFTER = {429: 10, 503: 1}
-CONFIRM_EVERY = timedelta(milliseconds=60)
+CONFIRM_EVERY = timedelta(milliseconds=100)
 LOOK_EVERY = timedelta(milliseconds=100)
 READS_AT_ONCE = 16
 #: Requests that may wait, and accepted jobs that may be unfinished, for each MB that a controller may hold. A job
--- a/src/gladecroft/protocol/peers.py
+++ b/src/gladecroft/protocol/peers.py
@@ -9,7 +9,7 @@
 MOST_ENDED = 300
 
 
-class EndedAttempt(msgspec.Struct, frozen=True, array_like=True):
+class EndedAttempt(msgspec.Struct, gc=False, frozen=True, array_like=True):
     """An attempt that is proven gone, and how it ended."""
 
     job: str
--- a/src/gladecroft/protocol/wire.py
+++ b/src/gladecroft/protocol/wire.py
@@ -144,7 +144,9 @@
     report_to: str | None = None
 
 
-class TaskReport(msgspec.Struct, rename={"task": "portion", "attempt": "try", "state": "status", "why": "cause"}):
+class TaskReport(
+    msgspec.Struct, gc=False, rename={"task": "portion", "attempt": "try", "state": "status", "why": "cause"}
+):
     task: str
     attempt: Count
     state: TaskState
@@ -181,6 +183,7 @@
 
 class Command(
     msgspec.Struct,
+    gc=False,
     omit_defaults=True,
     rename={"op": "verb", "task": "portion", "attempt": "try", "grace_s": "mercyS"},
 ):
@@ -268,18 +271,18 @@
     more: bool = False
 
 
-class Condition(msgspec.Struct, rename={"version": "stamp"}):
+class Condition(msgspec.Struct, gc=False, rename={"version": "stamp"}):
     key: str
     version: int
 
 
-class Put(msgspec.Struct, omit_defaults=True, rename={"key": "write", "value": "data", "lease": "tenure"}):
+class Put(msgspec.Struct, gc=False, omit_defaults=True, rename={"key": "write", "value": "data", "lease": "tenure"}):
     key: str
     value: msgspec.Raw
     lease: int | UnsetType = UNSET
 
 
-class Delete(msgspec.Struct, rename={"key": "drop"}):
+class Delete(msgspec.Struct, gc=False, rename={"key": "drop"}):
     key: str
 
 
@@ -293,7 +296,7 @@
     failed: list[str] = []
 
 
-class Item(msgspec.Struct, rename={"value": "data", "version": "stamp"}):
+class Item(msgspec.Struct, gc=False, rename={"value": "data", "version": "stamp"}):
     key: str
     value: msgspec.Raw
     version: int
@@ -309,7 +312,9 @@
     more: bool = False
 
 
-class LogEntry(msgspec.Struct, rename={"put": "write", "delete": "drop", "value": "data", "version": "stamp"}):
+class LogEntry(
+    msgspec.Struct, gc=False, rename={"put": "write", "delete": "drop", "value": "data", "version": "stamp"}
+):
     version: int
     put: str | None = None
     delete: str | None = None
--- a/src/gladecroft/service.py
+++ b/src/gladecroft/service.py
@@ -62,7 +62,7 @@
         self._workers = Client(1, CONNECT_LIMIT)
         self._peers = Client(2, CONNECT_LIMIT)
         self._worker_limit = anyio.CapacityLimiter(max(8, sockets // 8))
-        self._waiting: dict[int, Callable[[Reply], None]] = {}
+        self._waiting: dict[int, tuple[Callable[[Reply], None], timedelta]] = {}
         self._numbers = 0
         self._state_addr = split_addr(platform.services.state)
         self._cloud_addr = split_addr(platform.services.cloud)
@@ -102,14 +102,22 @@
             now = clock()
             if now.steady >= due:
                 due = now.steady + TICK
+                self._give_up(now.steady)
             for effect in self.core.step(now, events):
                 self._carry_out(effect)
 
+    def _give_up(self, now: timedelta) -> None:
+        """Answer what has waited too long. Requests are few that do, so they have no timer each."""
+        late = [number for number, (_, since) in self._waiting.items() if now - since > ANSWER_LIMIT]
+        for number in late:
+            then, _ = self._waiting.pop(number)
+            then(Reply(number, 503, wire.encode(wire.Refusal("too slow")), 1))
+
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, Reply):
-            then = self._waiting.pop(effect.number, None)
-            if then is not None:
-                then(effect)
+            waiting = self._waiting.pop(effect.number, None)
+            if waiting is not None:
+                waiting[0](effect)
         elif isinstance(effect, Watch):
             self._group.start_soon(self._do_watch, effect)
         else:
@@ -154,13 +162,12 @@
             got.append(reply)
             done.set()
 
-        self._waiting[number] = then
+        self._waiting[number] = (then, clock().steady)
         self._send.send_nowait(Asked(number, verb, body, job))
-        with anyio.move_on_after(ANSWER_LIMIT.total_seconds()):
+        try:
             await done.wait()
-        self._waiting.pop(number, None)
-        if not got:
-            return _refusal(503, "too slow", 1)
+        finally:
+            self._waiting.pop(number, None)
         headers = (("Retry-After", str(got[0].retry_after)),) if got[0].retry_after is not None else ()
         return Response(got[0].status, got[0].body, headers)
 
--- a/src/gladecroft/transport/server.py
+++ b/src/gladecroft/transport/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -70,15 +71,20 @@
             self.open -= 1
 
     async def _requests(self, stream: anyio.abc.SocketStream) -> None:
-        conn = h11.Connection(h11.SERVER)
+        # One scope for the connection, its deadline moved on: scopes are a good part of what a request costs.
+        with anyio.CancelScope() as scope:
+            await self._serve(h11.Connection(h11.SERVER), stream, scope)
+
+    async def _serve(self, conn: h11.Connection, stream: anyio.abc.SocketStream, scope: anyio.CancelScope) -> None:
         while True:
             try:
-                with anyio.fail_after(IDLE_LIMIT.total_seconds()):
-                    request = await _event(conn, stream)
+                scope.deadline = anyio.current_time() + IDLE_LIMIT.total_seconds()
+                request = await _event(conn, stream)
                 if not isinstance(request, h11.Request):
                     return
-                with anyio.fail_after(BODY_LIMIT.total_seconds()):
-                    body = await self._body(conn, stream, request)
+                if conn.their_state is h11.SEND_BODY:
+                    scope.deadline = anyio.current_time() + BODY_LIMIT.total_seconds()
+                body = await self._body(conn, stream, request)
             except BodyTooLarge:
                 response = _plain(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
                 await _send(conn, stream, response, close=True)
@@ -87,6 +93,7 @@
                 if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                     await _send(conn, stream, _plain(error.error_status_hint, "malformed request"), close=True)
                 return
+            scope.deadline = math.inf
             response = await self._handler(
                 Request(request.method.decode("ascii"), request.target.decode("latin-1"), body)
             )
