--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -35,6 +35,11 @@
 CALM = timedelta(seconds=4)
 MOSTLY_FREE = 0.5
 RETURN_MOST = 100
+#: So many idle machines, and this share of the fleet, are kept for as long as the operators say; more of them only for
+#: a moment.
+IDLE_FEW = 2
+IDLE_SHARE = 0.02
+IDLE_AT_LEAST = timedelta(seconds=4)
 #: How many of the least used machines are tried each time.
 EMPTYING_TRIES = 6
 
@@ -316,7 +321,7 @@
                 self._rent(wanted, min(RENT_MOST, count - start))
         # Machines that waiting work is about to take are not idle.
         self._give_back(now, {bin.machine for bin in bins if bin.machine and bin.taken})
-        self._consolidate(now, bool(waiting))
+        self._consolidate(now, bool(want), bool(waiting))
         for name in [name for name in self._idle_since if name not in self.picture.machines]:
             del self._idle_since[name]
 
@@ -329,10 +334,14 @@
         for coming in self.coming.values():
             self._in_zone[coming.kind[1]] = self._in_zone.get(coming.kind[1], 0) + 1
 
-    def _consolidate(self, now: timedelta, waiting: bool) -> None:
-        """Empty a little-used machine whose services fit elsewhere; if work waits, take such machines back into use."""
+    def _consolidate(self, now: timedelta, short: bool, waiting: bool) -> None:
+        """Empty a little-used machine whose services fit elsewhere; if work waits, take such machines back into use.
+
+        In a large fleet something always waits for a moment and some machine always boots; what tells that room is
+        short is that more must be rented.
+        """
         emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
-        if waiting or self.coming or self._bookings:
+        if short:
             self._calm_since = now
             for name in emptying if waiting else ():
                 # Services on the move wait for a moment too: only what finds no room brings the machine back.
@@ -343,6 +352,8 @@
             return
         if not self.node.operator.machine_consolidate or now - self._calm_since < CALM:
             return
+        if self._bookings:
+            return
         if len(emptying) > len(self.picture.machines) // 12:
             return
         candidates: list[tuple[float, str, list[Job]]] = []
@@ -546,7 +557,7 @@
 
     def _give_back(self, now: timedelta, needed: set[str]) -> None:
         idle_for = timedelta(seconds=self.node.operator.machine_idle)
-        idle: list[tuple[float, str]] = []
+        idle: list[tuple[float, str, timedelta]] = []
         used = free = 0.0
         for name, record in self.picture.machines.items():
             kind = self.placers.types.get(record.type)
@@ -559,15 +570,23 @@
                 self._idle_since.pop(name, None)
                 continue
             since = self._idle_since.setdefault(name, now)
-            if now - since >= idle_for:
-                idle.append((-(kind.spot_price if record.spot else kind.price), name))
+            idle.append((-(kind.spot_price if record.spot else kind.price), name, now - since))
+        # One machine may soon be wanted again. Of many, all but a few go at once: what a large fleet needs next moves
+        # less than what a small one does.
+        spare = IDLE_FEW + int(IDLE_SHARE * len(self.picture.machines))
+        left = len(idle)
+        many = left > spare
         reserve = self.node.operator.machine_reserve * used
-        for _, name in sorted(idle):
+        for _, name, span in sorted(idle):
+            if span < idle_for and not (many and span >= IDLE_AT_LEAST):
+                continue
             record = self.picture.machines[name]
             kind = self.placers.types[record.type]
             if free - kind.cpus < reserve:
                 continue
             free -= kind.cpus
+            left -= 1
+            many = left > spare
             # Its record changes first, so that nobody places on it any more; then it is returned.
             log.info("%s is idle: giving it back", name)
             self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.RETURNING))
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -26,6 +26,7 @@
 MAX_BYTES = 52_000
 #: Transactions are begun at most this often; unless something has changed, much less often.
 FLUSH_EVERY = timedelta(milliseconds=100)
+WEIGH_EVERY = timedelta(seconds=2)
 FLUSH_IDLE = timedelta(milliseconds=400)
 #: While writes are short, ends of a job's tasks are gathered this long, so that one write holds many.
 GATHER = timedelta(milliseconds=900)
@@ -65,6 +66,8 @@
         self._reading = 0
         self._flushed_at = timedelta(days=-1)
         self._seen: tuple[int, int, int] = (-1, 0, 0)
+        self._weighed_at = timedelta(days=-1)
+        self._was_full = False
 
     def exit(self, job: str, number: int, attempt: int, outcome: Outcome) -> None:
         """Note that an attempt is proven gone."""
@@ -178,26 +181,49 @@
         self._read_stale()
         if self.busy or self._reading or self._stale or not self.membership.entitled() or node.state_down():
             return
+        self._weigh()
         seen = (self.picture.changes, len(self.exits), len(self.machine_puts))
         if node.now - self._flushed_at < (FLUSH_EVERY if seen != self._seen else FLUSH_IDLE):
             return
         budget = int(node.writes.look(node.now))
         ops = node.cluster.state.txn_ops
         urgent = self._urgent()
-        if budget < min(4 if urgent else ops // 2, ops, int(node.writes.burst)):
+        node.ledger_wants = bool(self.picture.queued or self.exits or self.machine_puts)
+        # Each transaction also writes team records. While there is more to write than the budget allows, few large
+        # transactions get more done than many small ones; else what is urgent goes at once.
+        if budget < min(4 if urgent and not self._was_full else ops // 2, int(node.writes.burst)):
             return
+        if node.users_want and not node.ledgers_turn:
+            return
+        node.ledger_wants = False
         self._flushed_at, self._seen = node.now, seen
         change = Change(self.picture, min(ops, budget), MAX_BYTES)
         node.lend()
         self._compose_exits(change, change.max_ops // 2 if urgent else 0)
-        self._compose_machines(change)
+        # Machines come in hundreds after a burst of renting; work that can already run is not to wait for them all.
+        self._compose_machines(change, change.max_ops // 2 if self.picture.queued else 0)
         self._compose_finals(change)
         for composer in self.composers:
             composer(change)
+        self._was_full = not change.room(1, 0)
         self._compose_orphans(change)
         if change.finish():
             self._commit(change)
 
+    def _weigh(self) -> None:
+        """Tell the budget, now and then, how much of all unfinished work has its home here."""
+        if self.node.now - self._weighed_at < WEIGH_EVERY or not self.picture.jobs:
+            return
+        self._weighed_at = self.node.now
+        mine = total = 0
+        for job in self.picture.jobs.values():
+            # What waits or will end soon is written about; a service that runs is not.
+            weight = 1 if job.queued_count or job.spec.kind is not wire.Kind.SERVICE else 0
+            total += weight
+            mine += weight * (self.membership.job_home(job.spec) == self.node.name)
+        if total:
+            self.node.weigh(mine / total)
+
     def _urgent(self) -> bool:
         """Whether work of the highest priority waits here."""
         me = self.node.name
@@ -251,9 +277,9 @@
                 change.set_task(job, number, after)
                 change.notes.append(f"{job.id}/{number}#{attempt} on {task.machine} ended: {outcome.note or 'done'}")
 
-    def _compose_machines(self, change: Change) -> None:
+    def _compose_machines(self, change: Change, reserve: int) -> None:
         for machine, record in list(self.machine_puts.items()):
-            if not change.room(1, 0):
+            if not change.room(1 + reserve, 0):
                 return
             if record is None:
                 if machine in self.picture.machines:
@@ -335,6 +361,7 @@
 
         if node.state("POST", wire.COMMIT_PATH, wire.encode(wire.Txn(conditions, list(ops))), then, writes=len(ops)):
             self.busy = True
+            node.ledgers_turn = False
 
     def _read_stale(self) -> None:
         while self._stale and self._reading < 8:
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -20,6 +20,8 @@
 CLOUD_LIMIT = timedelta(seconds=6)
 WORKER_LIMIT = timedelta(seconds=2)
 PEER_LIMIT = timedelta(seconds=1)
+#: The part of the writes that is shared evenly, whatever the work.
+EVEN = 0.4
 LEND = 1.7
 LEND_AFTER = timedelta(seconds=10)
 #: Two steady clocks may disagree by twice the drift of one.
@@ -75,7 +77,11 @@
         self.requests = Budget(state.rps / nodes, state.rps / nodes)
         self.writes = Budget(state.write_rps / nodes, state.write_rps / nodes)
         self.cloud_calls = Budget(cloud.rps / nodes, cloud.rps)
+        #: Acceptances and the ledger take turns at the writes while both want more than there are.
+        self.users_want = self.ledger_wants = False
+        self.ledgers_turn = True
         self._write_share = self.writes.rate
+        self._live = nodes
         self._refused_at: timedelta | None = None
         self._peer_addrs = {peer.name: peer.peer_addr for peer in platform.peers}
         self._effects: list[Effect] = []
@@ -87,12 +93,19 @@
         state, cloud = self.cluster.state, self.cluster.cloud
         part = 0.95 / max(1, live)
         self.requests.set(state.rps * part, state.rps * part)
-        self._write_share = state.write_rps * part
-        self.lend()
+        self._live = max(1, live)
+        self.weigh(1 / self._live)
         # Only the leader rents and lists; the others ask for the machine types now and then.
         few = 0.05 * max(0, live - 1)
         self.cloud_calls.set(cloud.rps * (0.9 - few if leader else 0.05), cloud.rps if leader else 1.0)
 
+    def weigh(self, work: float) -> None:
+        """Most writes are made by the homes of waiting and running jobs: they are shared by how much of all that work
+        (0 to 1) is placed here, the rest evenly. All controllers see nearly the same work, so the shares add up."""
+        even = EVEN / self._live
+        self._write_share = 0.95 * self.cluster.state.write_rps * (even + (1 - EVEN) * work)
+        self.lend()
+
     def lend(self) -> None:
         """Controllers are seldom busy all at once: as long as none is refused, each may use more than its share."""
         most = 0.9 * self.cluster.state.write_rps
--- a/src/gladecroft/coordination/users.py
+++ b/src/gladecroft/coordination/users.py
@@ -315,8 +315,14 @@
     def _flush_changes(self) -> None:
         """Commit a batch of acceptances and cancellations."""
         node = self.node
+        node.users_want = bool(self._changes)
         if self._changing or not self._changes:
             return
+        # Without turns a wave of submissions kept all that was accepted from being placed.
+        if node.ledger_wants and node.ledgers_turn:
+            return
+        if node.writes.look(node.now) < min(4, len(self._changes)):
+            return
         ops_limit = min(node.cluster.state.txn_ops, max(1, int(node.writes.look(node.now))))
         conditions = {rec.EPOCH: self.picture.version(rec.EPOCH)}
         batch: dict[str, tuple[rec.JobRecord, list[Waiting]]] = {}
@@ -393,6 +399,7 @@
 
         if node.state("POST", wire.COMMIT_PATH, body, then, writes=len(ops)):
             self._changing = True
+            node.ledgers_turn = True
         else:
             put_back()
 
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,128 @@
+"""What a round, a report or a change costs does not grow with the fleet where it need not.
+
+Nothing here looks at a clock: what is counted repeats exactly.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.coordination.messages import Asked, Call, Target, Verb
+from gladecroft.coordination.placement import HighPlacer, LowSide, Ranking
+from gladecroft.protocol import peers, wire
+from runner import Scenario
+from test_epochs import clock
+from test_fencing import Rig
+from test_placement import LINE, need, slot
+from world import seconds
+
+FLEET = """
+set machine.consolidate=false
+team t cpus=2000 max=2000
+type g16 cpus=16 memory=640
+up g16 count={machines}
+at 1 submit wk-9 team=t kind=service tasks={machines} cpus=12 memory=1
+run 40
+"""
+
+
+def looked_at(machines: int) -> int:
+    """How many machines the placers look at again to place one more task in a settled fleet."""
+    scenario = Scenario(FLEET.format(machines=machines), 1).run()
+
+    def looked() -> int:
+        return sum(controller.core.placers.floor.looked for controller in scenario.controllers if controller.core)
+
+    def place(job: str, at: float) -> None:
+        scenario.world.at(seconds(at), lambda: scenario._do(["submit", job, "team=t", "tasks=1", "cpus=2", "run=30"]))
+        scenario.world.run_until(seconds(at + 3))
+        assert [start for start in scenario.oracle.starts if start[1][0] == job]
+
+    place("wk-1", 41)  # what the fleet's own start has changed is looked at now
+    before = looked()
+    place("wk-2", 45)
+    assert scenario.oracle.broken == []
+    return looked() - before
+
+
+def test_placing_a_task_looks_at_the_machines_that_changed_only() -> None:
+    assert looked_at(40) <= looked_at(10) + 6
+
+
+def test_a_jobs_machines_are_ranked_once_and_kept_in_order() -> None:
+    slots = [slot("m-1"), slot("m-2"), slot("m-3")]
+    wanted = need(8)
+    ranking = Ranking(wanted, slots, HighPlacer.rank)
+    taken = []
+    while ranking:
+        best = next(iter(ranking))
+        taken.append(best.machine)
+        ranking.take(best, LINE)
+    # The busiest comes first, so a machine is filled before the next is begun.
+    assert taken == ["m-1", "m-1", "m-2", "m-2", "m-3", "m-3"]
+    low = Ranking(need(4, rank=2, image="x"), [slot("m-4"), slot("m-5", images=("x",))], LowSide.rank)
+    assert [each.machine for each in low] == ["m-5", "m-4"]
+
+
+def rig_with_a_foreign_home() -> Rig:
+    rig = Rig()
+    rig.core.membership._homes["t"] = "n1"
+    rig.place(TaskState.ACTIVE)
+    rig.tasks["wk-1/0"] = {"portion": "wk-1/0", "try": 1, "status": "exited", "cause": "done"}
+    return rig
+
+
+def calls(rig: Rig, at: float) -> list[Call]:
+    return [effect for effect in rig.core.step(clock(at), []) if isinstance(effect, Call)]
+
+
+def test_an_owner_tells_the_home_of_an_end_and_writes_it_only_in_vain() -> None:
+    rig = rig_with_a_foreign_home()
+    rig.core.membership._last_renewal = clock(100_000).steady  # no renewals between the calls looked at
+    rig.core.node.state_ok_at = clock(150).steady
+    first = rig.core.step(clock(200), [Asked(1, Verb.REPORT, rig.report())])
+    told = [effect for effect in first if isinstance(effect, Call) and effect.target is Target.PEER]
+    assert len(told) == 1
+    message: peers.Ended = wire.decode(peers.Ended, told[0].body or b"")
+    assert message == peers.Ended(1, [peers.EndedAttempt("wk-1", 0, 1, True)])
+    early = [call for call in [*first, *calls(rig, 200.5)] if isinstance(call, Call) and call.path == wire.COMMIT_PATH]
+    assert not [call for call in early if b"g/p/wk-1" in (call.body or b"")]
+    late = [call for call in calls(rig, 203) if call.path == wire.COMMIT_PATH]
+    assert [call for call in late if b"g/p/wk-1" in (call.body or b"")]
+
+
+def tell(rig: Rig, epoch: int) -> None:
+    body = wire.encode(peers.Ended(epoch, [peers.EndedAttempt("wk-1", 0, 1, True)]))
+    rig.core.step(clock(200), [Asked(5, Verb.ENDED, body)])
+
+
+def test_a_proof_counts_under_its_epoch_only() -> None:
+    for epoch, taken in ((1, True), (2, False), (0, False)):
+        rig = Rig()
+        rig.core.membership._homes["t"] = "n0"
+        rig.put("g/p/wk-1/0", rec.ChunkRecord([TaskRecord(TaskState.ACTIVE, 1, "m-9")]))
+        rig.put("g/m/m-9", rec.MachineRecord("g", "a", False, "10.1.0.9:9000"))
+        tell(rig, epoch)
+        assert bool(rig.core.ledger.exits) is taken
+        # A new epoch may have given the machine, and so the attempt, to somebody else.
+        rig.put(rec.EPOCH, rec.EpochRecord(2, "n1", {"n0": 7, "n1": 8}, {"m-9": "n1"}))
+        rig.core.step(clock(201), [])
+        assert not rig.core.ledger.exits
+
+
+def test_the_longest_message_between_controllers_fits_a_body() -> None:
+    ended = peers.EndedAttempt("wk-" + "9" * 40, 99_999, 2**63, False, "x" * 24, True)
+    assert len(msgspec.json.encode(peers.Ended(2**63, [ended] * peers.MOST_ENDED))) <= wire.MAX_BODY
+
+
+def test_teams_are_shared_out_evenly() -> None:
+    rig = Rig()
+    membership = rig.core.membership
+    rig.core.node.picture.limits.update(
+        {f"t{index}": rig.core.node.picture.limits["t"] for index in range(9)}  # ten in all
+    )
+    membership._share_out_teams()
+    homes = [membership.home(team) for team in rig.core.node.picture.limits]
+    assert sorted(map(homes.count, ("n0", "n1"))) == [5, 5]
