A home claims its team once an epoch; placements need no write of the team's record

A team's record now names who alone places its tasks; every placement is conditional on it, and what the team uses is told from the picture, which holds all that came before the claim. After a placement of unknown outcome the team is claimed anew. Ruled out: rooms, cloud calls, state requests.

--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -131,8 +131,10 @@
         self.queued: dict[str, Job] = {}
         self.over: dict[str, Job] = {}
         self.gangs: dict[str, Job] = {}
+        self.gang_teams: dict[str, int] = {}
         self._guaranteed: tuple[int, set[str]] = (-1, set())
         self._used: dict[str, tuple[float, float, float]] = {}
+        self._team_use: tuple[int, dict[str, tuple[float, float]]] = (-1, {})
         self._versions: dict[str, int] = {}
         self._gone: OrderedDict[str, int] = OrderedDict()
         self._orphans: dict[str, dict[int, tuple[list[rec.TaskRecord], int]]] = {}
@@ -213,6 +215,7 @@
             self.job_changes += 1
             if job.spec.kind is Kind.GANG:
                 self.gangs[name] = job
+                self.gang_teams[job.spec.team] = self.gang_teams.get(job.spec.team, 0) + 1
             for index, (chunk, chunk_version) in self._orphans.pop(name, {}).items():
                 self._take_chunk(name, index, chunk, chunk_version)
         else:
@@ -241,6 +244,8 @@
         if job is None:
             return
         self.job_changes += 1
+        if name in self.gangs:
+            self.gang_teams[job.spec.team] -= 1
         for jobs in (self.queued, self.over, self.gangs):
             jobs.pop(name, None)
         for number, task in job.placed():
@@ -305,8 +310,17 @@
 
     # Questions -----------------------------------------------------------------------------------------------
 
-    def used_by_team(self, team: str) -> rec.TeamRecord:
-        return self.teams.get(team) or rec.TeamRecord()
+    def used_by_team(self, team: str) -> tuple[float, float]:
+        """Cores and cards that the team's attempts take, from their commit until they are proven gone."""
+        if self._team_use[0] != self.changes:
+            sums: dict[str, list[float]] = {}
+            for job in self.jobs.values():
+                if job.occupied:
+                    total = sums.setdefault(job.spec.team, [0.0, 0.0])
+                    total[0] += job.occupied * job.spec.cpus
+                    total[1] += job.occupied * job.spec.gpus
+            self._team_use = (self.changes, {name: (cpus, gpus) for name, (cpus, gpus) in sums.items()})
+        return self._team_use[1].get(team, (0.0, 0.0))
 
     def used_on(self, machine: str) -> tuple[float, float, float]:
         used = self._used.get(machine)
@@ -364,7 +378,10 @@
         self.conditions: dict[str, int] = {}
         self.puts: dict[str, bytes | None] = {}
         self._chunks: dict[tuple[str, int], list[rec.TaskRecord]] = {}
+        #: What the teams use with this change made, and the teams for which it places something.
         self._teams: dict[str, list[float]] = {}
+        self.placing: set[str] = set()
+        self.claims: set[str] = set()
         self.notes: list[str] = []
         #: About what the changes take as JSON, counted as they come: asking for room must not cost a look at all.
         self._size = 200
@@ -374,20 +391,17 @@
         self.conditions.setdefault(key, self.picture.version(key) if version is None else version)
 
     def room(self, jobs: int = 1, teams: int = 1, machines: int = 0) -> bool:
-        """Whether that many more chunks, team records and machine conditions surely fit."""
-        ops = len(self.puts) + len(self._chunks) + len(self._teams) + jobs + teams
+        """Whether that many more chunks, and conditions on team and machine records, surely fit."""
+        ops = len(self.puts) + len(self._chunks) + jobs
         conditions = len(self.conditions) + 2 * jobs + teams + machines
         return ops <= self.max_ops and conditions <= self.max_conditions and self._bytes() < self.max_bytes
 
     def _bytes(self) -> int:
-        return self._size + 160 * len(self.conditions) + 200 * len(self._teams)
+        return self._size + 160 * len(self.conditions)
 
     def has_chunk(self, job: Job, number: int) -> bool:
         return (job.id, number // job.size) in self._chunks
 
-    def has_team(self, team: str) -> bool:
-        return team in self._teams
-
     def put(self, key: str, value: Any) -> None:
         self.require(key)
         self.puts[key] = msgspec.json.encode(value)
@@ -418,24 +432,22 @@
         step = bool(record.machine) - bool(before.machine)
         if step:
             used = self._used(job.spec.team)
-            used[0] = max(0.0, round(used[0] + step * job.spec.cpus, 6))
-            used[1] = max(0.0, round(used[1] + step * job.spec.gpus, 6))
+            used[0] += step * job.spec.cpus
+            used[1] += step * job.spec.gpus
+        if step > 0:
+            self.placing.add(job.spec.team)
+            self.require(rec.team_key(job.spec.team))
 
     def _used(self, team: str) -> list[float]:
         used = self._teams.get(team)
         if used is None:
-            known = self.picture.used_by_team(team)
-            used = self._teams[team] = [known.cpus, known.gpus]
-            self.require(rec.team_key(team))
+            used = self._teams[team] = [*self.picture.used_by_team(team)]
         return used
 
     def team_room(self, job: Job) -> int:
         """How many more tasks of the job its team's limit allows."""
         limit = self.picture.limits[job.spec.team]
-        used = self._teams.get(job.spec.team)
-        if used is None:
-            known = self.picture.used_by_team(job.spec.team)
-            used = [known.cpus, known.gpus]
+        used = self._teams.get(job.spec.team) or self.picture.used_by_team(job.spec.team)
         room = job.spec.tasks
         for need, most, now in ((job.spec.cpus, limit.cpus_max, used[0]), (job.spec.gpus, limit.gpus_max, used[1])):
             if need > 0:
@@ -443,11 +455,9 @@
         return max(0, room)
 
     def finish(self) -> bool:
-        """Turn the edited chunks and teams into puts; False if nothing is to be changed."""
+        """Turn the edited chunks into puts; False if nothing is to be changed."""
         for (job, index), chunk in self._chunks.items():
             self.puts[rec.chunk_key(job, index)] = msgspec.json.encode(rec.ChunkRecord(chunk))
-        for team, (cpus, gpus) in self._teams.items():
-            self.puts[rec.team_key(team)] = msgspec.json.encode(rec.TeamRecord(cpus, gpus))
         self._chunks.clear()
         self._teams.clear()
         return bool(self.puts)
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -5,7 +5,7 @@
 g/j/<job>          an accepted job until it is over
 g/p/<job>/<chunk>  its tasks, CHUNK of them
 g/f/<job>          a job that is over; kept for ever
-g/t/<team>         what a team's attempts use
+g/t/<team>         the controller that alone places a team's tasks
 g/m/<machine>      a machine that has reported
 """
 
@@ -74,8 +74,10 @@
 
 
 class TeamRecord(msgspec.Struct, gc=False, frozen=True):
-    cpus: float = 0.0
-    gpus: float = 0.0
+    """Who alone places the team's tasks, and under which epoch. Every placement is conditional on it."""
+
+    home: str = ""
+    epoch: int = 0
 
 
 class MachineUse(IntEnum):
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -515,7 +515,7 @@
         used = self.picture.used_by_team(job.spec.team)
         if job.spec.cpus <= 0:
             return job.queued_count
-        return max(0, int((limit.cpus_max - used.cpus + 1e-6) / job.spec.cpus))
+        return max(0, int((limit.cpus_max - used[0] + 1e-6) / job.spec.cpus))
 
     def _cheapest(self, job: Job, zones: dict[str, int], only: str | None) -> Kind | None:
         spec = job.spec
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -26,6 +26,7 @@
 MAX_BYTES = 52_000
 #: Transactions are begun at most this often; unless something has changed, much less often.
 FLUSH_EVERY = timedelta(milliseconds=100)
+LEFT_FOR_USERS = 2
 WEIGH_EVERY = timedelta(seconds=2)
 FLUSH_IDLE = timedelta(milliseconds=400)
 #: While writes are short, ends of a job's tasks are gathered this long, so that one write holds many.
@@ -59,6 +60,8 @@
         #: Machines that the cloud has taken back by this controller's request: their attempts are gone for good.
         self.gone: dict[str, None] = {}
         self.machine_puts: dict[str, rec.MachineRecord | None] = {}
+        #: Teams for which a placement is under way of which nobody knows whether it was executed.
+        self.unsure: set[str] = set()
         #: Composers add what they want to a change; they run after exits, in order.
         self.composers: list[Callable[[Change], None]] = []
         self.busy = False
@@ -185,13 +188,15 @@
         seen = (self.picture.changes, len(self.exits), len(self.machine_puts))
         if node.now - self._flushed_at < (FLUSH_EVERY if seen != self._seen else FLUSH_IDLE):
             return
-        budget = int(node.writes.look(node.now))
+        # A little is left for submissions, which are not to wait for the next writes.
+        left = LEFT_FOR_USERS if node.writes.burst >= 3 * LEFT_FOR_USERS else 0
+        budget = int(node.writes.look(node.now)) - left
         ops = node.cluster.state.txn_ops
         urgent = self._urgent()
         node.ledger_wants = bool(self.picture.queued or self.exits or self.machine_puts)
-        # Each transaction also writes team records. While there is more to write than the budget allows, few large
-        # transactions get more done than many small ones; else what is urgent goes at once.
-        if budget < min(4 if urgent and not self._was_full else ops // 2, int(node.writes.burst)):
+        # While there is more to write than the budget allows, few large transactions get more done than many small
+        # ones; else what is urgent goes at once.
+        if budget < min(4 if urgent and not self._was_full else ops // 2, int(node.writes.burst) - left):
             return
         if node.users_want and not node.ledgers_turn:
             return
@@ -199,6 +204,7 @@
         self._flushed_at, self._seen = node.now, seen
         change = Change(self.picture, min(ops, budget), MAX_BYTES)
         node.lend()
+        self._compose_claims(change)
         self._compose_exits(change, change.max_ops // 2 if urgent else 0)
         # Machines come in hundreds after a burst of renting; work that can already run is not to wait for them all.
         self._compose_machines(change, change.max_ops // 2 if self.picture.queued else 0)
@@ -265,7 +271,7 @@
             job = self.picture.jobs[group[0]]
             first = groups[group][0][0]
             chunks = 0 if change.has_chunk(job, first) else 1
-            if not change.room(chunks + reserve, 0 if change.has_team(job.spec.team) else 1):
+            if not change.room(chunks + reserve, 0):
                 continue
             for number, attempt, outcome in groups[group]:
                 task = change.task(job, number)
@@ -277,6 +283,36 @@
                 change.set_task(job, number, after)
                 change.notes.append(f"{job.id}/{number}#{attempt} on {task.machine} ended: {outcome.note or 'done'}")
 
+    # Teams --------------------------------------------------------------------------------------------------
+
+    def claimed(self, team: str) -> bool:
+        """Whether this controller alone may place the team's tasks now, and knows of all that was placed before.
+
+        Its claim has made every commit fail that rested on an earlier one, and the watch has brought all that came
+        before the claim. So what the team uses can be told from the picture, with no write for each placement.
+        """
+        epoch, record = self.picture.epoch, self.picture.teams.get(team)
+        return (
+            epoch is not None
+            and record is not None
+            and record.home == self.node.name
+            and record.epoch == epoch.number
+            and team not in self.unsure
+            and self.picture.version(rec.team_key(team)) <= self.picture.revision
+        )
+
+    def _compose_claims(self, change: Change) -> None:
+        """Claim the teams of which jobs wait here."""
+        epoch = self.picture.epoch
+        assert epoch is not None
+        record = rec.TeamRecord(self.node.name, epoch.number)
+        for team in {job.spec.team: None for job in self.picture.queued.values()}:
+            if self.membership.home(team) != self.node.name:
+                continue
+            if (self.picture.teams.get(team) != record or team in self.unsure) and change.room(1, 0):
+                change.put(rec.team_key(team), record)
+                change.claims.add(team)
+
     def _compose_machines(self, change: Change, reserve: int) -> None:
         for machine, record in list(self.machine_puts.items()):
             if not change.room(1 + reserve, 0):
@@ -341,6 +377,7 @@
             self.busy = False
             if status == 200:
                 revision = wire.decode(wire.TxnReply, body).revision
+                self.unsure -= change.claims
                 for key, value in change.puts.items():
                     self.picture.apply(key, value, revision)
                 if log.isEnabledFor(logging.INFO):
@@ -351,7 +388,9 @@
                 log.debug("commit refused: %s changed", ",".join(failed))
                 self._stale.extend(key for key in failed if key not in self._stale)
             elif status == 0:
-                # Unknown outcome, and it may yet be executed: read the keys; conditions guard what follows.
+                # Unknown outcome, and it may yet be executed: read the keys; conditions guard what follows. What it
+                # would place might come on top of what is placed next: a new claim makes it fail, or shows it.
+                self.unsure |= change.placing
                 log.info("commit with unknown outcome: reading %d keys back", len(change.puts))
                 self._stale.extend(key for key in change.puts if key not in self._stale)
             elif status == 400:
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -129,7 +129,9 @@
 
     def home(self, team: str) -> str | None:
         """The controller that places the tasks of a team's jobs: one for the whole team, so that its limit and the
-        order of its jobs are not fought over."""
+        order of its jobs are not fought over. Gangs go to the leader, and with them all that their team has."""
+        if self.picture.gang_teams.get(team):
+            return self.picture.epoch.leader if self.picture.epoch is not None else None
         home = self._homes.get(team)
         if home is None and self._members_list:
             home = by_hash(self._members_list, team)
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -256,7 +256,8 @@
     def _place_job(self, change: Change, job: Job, inside: bool, home: str, most: int) -> int:
         """Place one job's waiting tasks as far as they go, or only set the room aside if it is another home's job."""
         spec = job.spec
-        ours = home == self.node.name
+        claimed = self.ledger.claimed(spec.team)
+        ours = home == self.node.name and claimed
         room = min(change.team_room(job), most)
         why = ""
         zones = self.zones_used(job) if spec.spread or spec.one_zone else {}
@@ -321,6 +322,8 @@
                     usable = [slot for slot in usable if slot.zone != full]
                     ranking.drop(lambda slot, full=full: slot.zone == full)  # type: ignore[misc]
         if home == self.node.name:
+            if not claimed:
+                why = why or "about to be placed"
             if why:
                 self.waits[job.id] = why
             else:
@@ -356,6 +359,9 @@
             return 0
         if home != self.node.name:
             return len(tasks)
+        if not self.ledger.claimed(job.spec.team):
+            self.waits[job.id] = "about to be placed"
+            return len(tasks)
         if pending:
             self.waits[job.id] = "waiting for evicted work to stop"
             victims = [victim for offer in offers for victim in offer.victims]
@@ -428,8 +434,7 @@
         # homes take the same room all the same, the worker refuses the second.
         gang = job.spec.kind is Kind.GANG
         foreign = bump and gang and not slot.mine and key not in change.puts
-        teams = 0 if change.has_team(job.spec.team) else 1
-        if not change.room((0 if change.has_chunk(job, number) else 1) + foreign, teams, 1):
+        if not change.room((0 if change.has_chunk(job, number) else 1) + foreign, 1, 1):
             return False
         change.require(key)
         if foreign:
--- a/src/gladecroft/coordination/users.py
+++ b/src/gladecroft/coordination/users.py
@@ -31,6 +31,8 @@
 }
 RETRY_AFTER = {429: 10, 503: 1}
 CONFIRM_EVERY = timedelta(milliseconds=100)
+#: More than so many submissions and cancellations waiting are a wave.
+WAVE = 4
 LOOK_EVERY = timedelta(milliseconds=100)
 READS_AT_ONCE = 16
 #: Requests that may wait, and accepted jobs that may be unfinished, for each MB that a controller may hold. A job
@@ -315,13 +317,13 @@
     def _flush_changes(self) -> None:
         """Commit a batch of acceptances and cancellations."""
         node = self.node
-        node.users_want = bool(self._changes)
+        # Single submissions are taken at once. A wave takes turns with placing: without that it kept all that was
+        # accepted from being placed.
+        wave = len(self._changes) > WAVE
+        node.users_want = wave
         if self._changing or not self._changes:
             return
-        # Without turns a wave of submissions kept all that was accepted from being placed.
-        if node.ledger_wants and node.ledgers_turn:
-            return
-        if node.writes.look(node.now) < min(4, len(self._changes)):
+        if wave and (node.ledger_wants and node.ledgers_turn or node.writes.look(node.now) < WAVE):
             return
         ops_limit = min(node.cluster.state.txn_ops, max(1, int(node.writes.look(node.now))))
         conditions = {rec.EPOCH: self.picture.version(rec.EPOCH)}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,12 +9,12 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
-from gladecroft.coordination.messages import Asked, Call, Target, Verb
+from gladecroft.coordination.messages import Answered, Asked, Call, Target, Verb
 from gladecroft.coordination.placement import HighPlacer, LowSide, Ranking
 from gladecroft.protocol import peers, wire
 from runner import Scenario
 from test_epochs import clock
-from test_fencing import Rig
+from test_fencing import SPEC, Rig
 from test_placement import LINE, need, slot
 from world import seconds
 
@@ -126,3 +126,49 @@
     membership._share_out_teams()
     homes = [membership.home(team) for team in rig.core.node.picture.limits]
     assert sorted(map(homes.count, ("n0", "n1"))) == [5, 5]
+
+
+def commits(effects: list[object]) -> list[Call]:
+    return [effect for effect in effects if isinstance(effect, Call) and effect.path == wire.COMMIT_PATH]
+
+
+def test_a_home_places_only_under_a_claim_that_no_late_commit_can_come_on_top_of() -> None:
+    rig = Rig()
+    core = rig.core
+    spec = msgspec.structs.replace(SPEC, types=None, zone=None, spot=False, cpus=4.0, gpus=0.0)
+    rig.revision += 1
+    core.node.picture.apply("g/j/wk-1", None, rig.revision)
+    rig.put("g/j/wk-1", rec.JobRecord(spec, 0))
+    core.membership._homes["t"] = "n0"
+    core.membership._last_renewal = clock(100_000).steady
+    core.node.state_ok_at = clock(100).steady
+    core.placers.floor.set_types({"g": wire.MachineType("g", 96, 768, 1, 1, 30, ["a"], 8)})
+
+    reads: list[Call] = []
+
+    def step(at: float, *events: object) -> dict[str, Call]:
+        """The commits of a step, by whether they claim the team or place the task."""
+        effects = core.step(clock(at), [*events])  # type: ignore[list-item]
+        reads.extend(effect for effect in effects if isinstance(effect, Call) and effect.path.startswith("/store/"))
+        calls = commits([*effects])
+        return {"place" if b'"g/p/wk-1/0","data"' in (call.body or b"") else "claim": call for call in calls}
+
+    def ok(call: Call) -> Answered:
+        rig.revision += 1
+        return Answered(call.number, 200, msgspec.json.encode({"ledger": rig.revision}))
+
+    claim = step(200, Asked(1, Verb.REPORT, rig.report()))["claim"]
+    assert b"g/t/" in (claim.body or b"")
+    # Committed, but the watch has not brought yet what was committed before it.
+    assert "place" not in {**step(201.2, ok(claim)), **step(202)}
+    core.node.picture.revision = rig.revision
+    place = step(203)["place"]
+    # Its outcome is not known: it may be executed at any time from now on.
+    again = {**step(203.2, Answered(place.number, 0)), **step(203.6)}
+    assert reads
+    again.update(step(204, *[Answered(read.number, 404, msgspec.json.encode({"ledger": 0})) for read in reads]))
+    again.update(step(204.5))
+    assert "place" not in again
+    step(205, ok(again["claim"]))
+    core.node.picture.revision = rig.revision
+    assert "place" in step(206)
