--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -74,10 +74,10 @@
 
 
 class TeamRecord(msgspec.Struct, gc=False, frozen=True):
-    """Who alone places the team's tasks, and under which epoch. Every placement is conditional on it."""
+    """Who alone places the team's tasks, in which incarnation. Every placement is conditional on it."""
 
     home: str = ""
-    epoch: int = 0
+    incarnation: int = 0
 
 
 class MachineUse(IntEnum):
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -35,9 +35,11 @@
 CALM = timedelta(seconds=4)
 MOSTLY_FREE = 0.5
 RETURN_MOST = 100
+#: For so many machines, one booting and one machine's worth of waiting work are nothing out of the ordinary.
+MACHINES_PER_FEW = 50
 #: So many idle machines, and this share of the fleet, are kept for as long as the operators say; more of them only for
 #: a moment.
-IDLE_FEW = 2
+IDLE_FEW = 5
 IDLE_SHARE = 0.02
 IDLE_AT_LEAST = timedelta(seconds=4)
 #: How many of the least used machines are tried each time.
@@ -321,7 +323,7 @@
                 self._rent(wanted, min(RENT_MOST, count - start))
         # Machines that waiting work is about to take are not idle.
         self._give_back(now, {bin.machine for bin in bins if bin.machine and bin.taken})
-        self._consolidate(now, bool(want), bool(waiting))
+        self._consolidate(now, bool(want) or not self._few(waiting), bool(waiting))
         for name in [name for name in self._idle_since if name not in self.picture.machines]:
             del self._idle_since[name]
 
@@ -334,11 +336,18 @@
         for coming in self.coming.values():
             self._in_zone[coming.kind[1]] = self._in_zone.get(coming.kind[1], 0) + 1
 
+    def _few(self, waiting: list[Job]) -> bool:
+        """Whether no more waits and boots than what a fleet of this size always has. In a small one: nothing."""
+        few = len(self.picture.machines) // MACHINES_PER_FEW
+        if len(self.coming) > few or len(self._bookings) > few:
+            return False
+        per_machine = max((kind.cpus for kind in self.placers.types.values()), default=0.0)
+        return sum(job.queued_count * job.spec.cpus for job in waiting) <= few * per_machine
+
     def _consolidate(self, now: timedelta, short: bool, waiting: bool) -> None:
         """Empty a little-used machine whose services fit elsewhere; if work waits, take such machines back into use.
 
-        In a large fleet something always waits for a moment and some machine always boots; what tells that room is
-        short is that more must be rented.
+        In a large fleet something always waits for a moment and some machine always boots: there a few don't matter.
         """
         emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
         if short:
@@ -352,8 +361,6 @@
             return
         if not self.node.operator.machine_consolidate or now - self._calm_since < CALM:
             return
-        if self._bookings:
-            return
         if len(emptying) > len(self.picture.machines) // 12:
             return
         candidates: list[tuple[float, str, list[Job]]] = []
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -291,21 +291,20 @@
         Its claim has made every commit fail that rested on an earlier one, and the watch has brought all that came
         before the claim. So what the team uses can be told from the picture, with no write for each placement.
         """
-        epoch, record = self.picture.epoch, self.picture.teams.get(team)
+        record = self.picture.teams.get(team)
         return (
-            epoch is not None
-            and record is not None
+            record is not None
             and record.home == self.node.name
-            and record.epoch == epoch.number
+            and record.incarnation == self.membership.incarnation
             and team not in self.unsure
             and self.picture.version(rec.team_key(team)) <= self.picture.revision
         )
 
     def _compose_claims(self, change: Change) -> None:
-        """Claim the teams of which jobs wait here."""
-        epoch = self.picture.epoch
-        assert epoch is not None
-        record = rec.TeamRecord(self.node.name, epoch.number)
+        """Claim the teams of which jobs wait here. A claim outlasts epochs in which only machines move."""
+        if self.membership.incarnation is None:
+            return
+        record = rec.TeamRecord(self.node.name, self.membership.incarnation)
         for team in {job.spec.team: None for job in self.picture.queued.values()}:
             if self.membership.home(team) != self.node.name:
                 continue
