--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -26,6 +26,10 @@
 PAGE = 400
 RETRY = timedelta(seconds=0.4)
 TOKEN_BITS = 24
+#: No key of a final state sorts after this: jobs' names end in digits.
+AFTER_FINALS = rec.FINALS + "~"
+#: Stands for the end of the listing.
+LISTED = "~"
 STUCK = timedelta(seconds=2.5)
 
 
@@ -192,9 +196,15 @@
         return True
 
     def _load(self) -> None:
-        """List all records, page by page; the watch then goes on from the first page's revision."""
+        """List the records, page by page; the watch then goes on from the first page's revision.
+
+        The states of jobs that are over are kept for ever and would make every start longer than the last; they are
+        left out and read when somebody asks. The epoch's key sorts before them, so it is read by itself, last: a
+        change to it after the first page's revision also comes by the watch.
+        """
         if not self._ready("load"):
             return
+        after = self._page_after or AFTER_FINALS
 
         def then(status: int, body: bytes) -> None:
             self._asking.pop("load", None)
@@ -208,7 +218,17 @@
                 self.picture.apply(item.key, item.value, item.version)
             if page.more and page.items:
                 self._page_after = page.items[-1].key
-                self._load()
+            else:
+                self._page_after = LISTED
+            self._load()
+
+        def epoch(status: int, body: bytes) -> None:
+            self._asking.pop("load", None)
+            if status == 200:
+                item: wire.Item = wire.decode(wire.Item, body)
+                self.picture.apply(item.key, item.value, item.version)
+            elif status != 404:
+                self._asking["load"] = self.node.now + RETRY
                 return
             self._page_after = None
             self.node.loaded = True
@@ -216,7 +236,11 @@
                      self.picture.revision, len(self.picture.jobs), len(self.picture.machines))  # fmt: skip
             self.tick()
 
-        if not self.node.state("GET", wire.range_path(rec.ROOT, self._page_after, PAGE), None, then, urgent=True):
+        if after == LISTED:
+            sent = self.node.state("GET", wire.key_path(rec.EPOCH), None, epoch, urgent=True)
+        else:
+            sent = self.node.state("GET", wire.range_path(rec.ROOT, after, PAGE), None, then, urgent=True)
+        if not sent:
             self._asking.pop("load", None)
 
     def watched(self, event: Watched) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
 from test_epochs import clock
 from test_fencing import SPEC, Rig
 from test_placement import LINE, need, slot
-from world import seconds
+from world import Replier, seconds
 
 FLEET = """
 set machine.consolidate=false
@@ -172,3 +172,26 @@
     step(205, ok(again["claim"]))
     core.node.picture.revision = rig.revision
     assert "place" in step(206)
+
+
+def test_a_start_does_not_read_the_jobs_that_are_over() -> None:
+    scenario = Scenario("team t cpus=64 max=64\ntype g16 cpus=16 memory=64\nup g16 count=2\nrun 0.05", 1).run()
+    for number in range(5000):
+        scenario.state.revision += 1
+        scenario.state.keys[f"g/f/wk-7{number:05d}"] = ({"done": True, "tasks": 3}, scenario.state.revision, None)
+    pages = []
+    serve = scenario.state.serve
+
+    def counted(node: str, method: str, path: str, body: bytes, reply: Replier) -> None:
+        if "?prefix=" in path:
+            pages.append(path)
+        serve(node, method, path, body, reply)
+
+    scenario.state.serve = counted  # type: ignore[method-assign]
+    scenario.world.at(seconds(5), lambda: scenario._do(["submit", "wk-1", "team=t", "tasks=2", "run=5"]))
+    # A job that was over before all controllers started: its state is read from the store.
+    scenario.world.at(seconds(5), lambda: scenario._do(["submit", "wk-700123", "team=t", "tasks=2", "run=5"]))
+    scenario.world.run_until(seconds(30))
+    assert len(pages) == len(scenario.controllers)
+    assert scenario.oracle.told["wk-1"] == scenario.oracle.told["wk-700123"] == "done"
+    assert not [start for start in scenario.oracle.starts if start[1][0] == "wk-700123"]
