An epoch holds as many moved machines as a value does, and says when one has no room

Cause: the record kept the latest 200 moved machines and dropped others without a word. A controller cut off from its workers has a third of 676 machines to give away; those dropped would have gone back to an owner that they can't reach, and asked again.

--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -43,6 +43,18 @@
     return max(members, key=lambda member: _weight(member, thing))
 
 
+def fitting(record: rec.EpochRecord, most: int) -> rec.EpochRecord:
+    """The record with as many of its moved machines, the latest, as fit into a value of so many bytes."""
+    moved = list(record.moved.items())
+    size = len(msgspec.json.encode(record))
+    drop = 0
+    while size > most and drop < len(moved):
+        name, to = moved[drop]
+        size -= len(msgspec.json.encode(name)) + len(msgspec.json.encode(to)) + 2
+        drop += 1
+    return msgspec.structs.replace(record, moved=dict(moved[drop:])) if drop else record
+
+
 class Membership:
     def __init__(self, node: Node) -> None:
         self.node = node
@@ -422,7 +434,11 @@
         kept = {m: to for m, to in (epoch.moved if epoch else {}).items() if live.get(to, -1) == old.get(to)}
         kept = {m: to for m, to in {**kept, **moves}.items()
                 if m in picture.machines or m in picture.on_machine or m in moves}  # fmt: skip
-        record = rec.EpochRecord((epoch.number if epoch else 0) + 1, leader, live, dict(list(kept.items())[-200:]))
+        number = (epoch.number if epoch else 0) + 1
+        record = fitting(rec.EpochRecord(number, leader, live, kept), int(node.cluster.state.value_kb * 1024))
+        if len(record.moved) < len(kept):
+            log.error("epoch %d: no room for %d of the %d machines moved: they go back to the split by hash",
+                      number, len(kept) - len(record.moved), len(kept))  # fmt: skip
         value = msgspec.json.encode(record)
         key = rec.MEMBERS + node.name
 
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -6,6 +6,7 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.coordination.core import Core
+from gladecroft.coordination.membership import fitting
 from gladecroft.coordination.messages import Asked, Clock, Verb, Watched
 from gladecroft.protocol import wire
 from gladecroft.protocol.settings import Operator, Platform
@@ -49,3 +50,17 @@
     # The former owner may have answered until its member lease ended, counted from this epoch, not from the last.
     assert machine.owner_since == timedelta(seconds=200)
     assert core.keeper.gone_at(machine) > timedelta(seconds=200 + 6 + 18)
+
+
+def test_an_epoch_holds_as_many_moved_machines_as_a_value_does() -> None:
+    members = {"n0": 7, "n1": 8}
+    moved = {f"m-{number:06d}": "n0" for number in range(1000)}
+    small = rec.EpochRecord(3, "n1", members, dict(list(moved.items())[:600]))
+    # Two hundred were kept once, whatever the limit: a third of a large fleet is more.
+    assert fitting(small, 16 * 1024) == small
+    exact = len(msgspec.json.encode(small))
+    assert fitting(small, exact) == small
+    assert list(fitting(small, exact - 1).moved) == list(small.moved)[1:]
+    cut = fitting(rec.EpochRecord(3, "n1", members, moved), 8 * 1024)
+    assert len(msgspec.json.encode(cut)) <= 8 * 1024
+    assert 0 < len(cut.moved) < 1000 and list(cut.moved) == list(moved)[-len(cut.moved) :]
