--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Any
@@ -104,6 +105,9 @@
     def __init__(self, teams: list[Team], value_kb: float) -> None:
         self.limits = {team.name: team for team in teams}
         self.size = rec.chunk_size(value_kb)
+        self.value_bytes = int(value_kb * 1024)
+        #: Machines without a record, known because they have reported to their owner. They outlast a new listing.
+        self.heard: dict[str, rec.MachineRecord] = {}
         self._team_names = {rec.team_key(team.name): team.name for team in teams}
         self.reset()
 
@@ -116,7 +120,7 @@
         self.jobs: dict[str, Job] = {}
         self.finals: OrderedDict[str, rec.FinalRecord] = OrderedDict()
         self.teams: dict[str, rec.TeamRecord] = {}
-        self.machines: dict[str, rec.MachineRecord] = {}
+        self.machines: dict[str, rec.MachineRecord] = dict(self.heard)
         #: The machines among them that are not simply up.
         self.aside: dict[str, rec.MachineUse] = {}
         #: What the records place on each machine.
@@ -133,6 +137,10 @@
         self.gangs: dict[str, Job] = {}
         self.gang_teams: dict[str, int] = {}
         self._guaranteed: tuple[int, set[str]] = (-1, set())
+        #: Attempts that this controller knows to have ended, though the records don't say so yet. They take no room.
+        self.ended: dict[TaskKey, int] = {}
+        #: Machines that have lost their work and of which no record or owner has said anything since.
+        self.doubted: set[str] = set()
         self._used: dict[str, tuple[float, float, float]] = {}
         self._team_use: tuple[int, dict[str, tuple[float, float]]] = (-1, {})
         self._versions: dict[str, int] = {}
@@ -179,6 +187,8 @@
             if team is not None:
                 self.teams[team] = rec.TeamRecord() if value is None else decode(rec.TeamRecord, value)
         elif kind == rec.MACHINES:
+            self.heard.pop(name, None)
+            self.doubted.discard(name)
             if value is None:
                 self.machines.pop(name, None)
                 self.aside.pop(name, None)
@@ -199,6 +209,20 @@
             self.epoch = None if value is None else decode(rec.EpochRecord, value)
             self.epoch_version = version
 
+    def hear(self, name: str, record: rec.MachineRecord) -> None:
+        """Take in a machine that has reported somewhere.
+
+        A machine that is simply up needs no record: its owner tells the others of it. A record is written when there is
+        more to say, and counts before what was heard.
+        """
+        if name in self.doubted:
+            self.doubted.discard(name)
+            self.stale.add(name)
+        if name not in self.machines and rec.machine_key(name) not in self._gone:
+            self.heard[name] = self.machines[name] = record
+            self.touched.add(name)
+            self.stale.add(name)
+
     def note_final(self, job: str, final: rec.FinalRecord) -> None:
         self.finals[job] = final
         self.finals.move_to_end(job)
@@ -322,11 +346,30 @@
             self._team_use = (self.changes, {name: (cpus, gpus) for name, (cpus, gpus) in sums.items()})
         return self._team_use[1].get(team, (0.0, 0.0))
 
+    def end(self, key: TaskKey, attempt: int | None) -> None:
+        """Note that an attempt has ended, ahead of the records; None: they say it now, or it was not so."""
+        if attempt is None:
+            self.ended.pop(key, None)
+        else:
+            self.ended[key] = attempt
+        job = self.jobs.get(key[0])
+        machine = "" if job is None else job.task(key[1]).machine
+        if machine:
+            self.stale.add(machine)
+            self._used.pop(machine, None)
+
+    def residents(self, machine: str) -> list[tuple[TaskKey, rec.TaskRecord]]:
+        """What the records place on a machine, without what is known to have ended."""
+        there = self.on_machine.get(machine)
+        if not there:
+            return []
+        return [(key, task) for key, task in there.items() if self.ended.get(key) != task.attempt]
+
     def used_on(self, machine: str) -> tuple[float, float, float]:
         used = self._used.get(machine)
         if used is None:
             cpus = gpus = memory = 0.0
-            for job_id, _ in self.on_machine.get(machine, {}):
+            for (job_id, _), _ in self.residents(machine):
                 spec = self.jobs[job_id].spec
                 cpus += spec.cpus
                 gpus += spec.gpus
@@ -340,7 +383,7 @@
         if team is None:
             return f"unknown team {spec.team}"
         times = 1 if spec.kind is Kind.ARRAY else spec.tasks
-        if spec.cpus * times > team.cpus_max + 1e-9 or spec.gpus * times > team.gpus_max + 1e-9:
+        if spec.cpus * times > team.most_cpus + 1e-9 or spec.gpus * times > team.most_gpus + 1e-9:
             return f"needs more than the limit of team {spec.team}"
         return None
 
@@ -367,6 +410,10 @@
         return inside
 
 
+def _bare(task: rec.TaskRecord) -> rec.TaskRecord:
+    return msgspec.structs.replace(task, note="") if task.note else task
+
+
 class Change:
     """One transaction in the making, on top of a picture."""
 
@@ -378,9 +425,12 @@
         self.conditions: dict[str, int] = {}
         self.puts: dict[str, bytes | None] = {}
         self._chunks: dict[tuple[str, int], list[rec.TaskRecord]] = {}
+        self._most_value = picture.value_bytes
         #: What the teams use with this change made, and the teams for which it places something.
         self._teams: dict[str, list[float]] = {}
         self.placing: set[str] = set()
+        #: Jobs that end with this change: their tasks are not touched any more.
+        self.over: set[str] = set()
         self.claims: set[str] = set()
         self.notes: list[str] = []
         #: About what the changes take as JSON, counted as they come: asking for room must not cost a look at all.
@@ -407,6 +457,12 @@
         self.puts[key] = msgspec.json.encode(value)
         self._size += 100 + len(self.puts[key] or b"")
 
+    def drop_chunk(self, job: Job, index: int) -> None:
+        """The job is over: its chunk goes, with whatever it held."""
+        self._chunks.pop((job.id, index), None)
+        self.require(rec.chunk_key(job.id, index), job.versions[index])
+        self.puts[rec.chunk_key(job.id, index)] = None
+
     def drop(self, key: str) -> None:
         self.require(key)
         self.puts[key] = None
@@ -415,9 +471,20 @@
         chunk = self._chunks.get((job.id, number // job.size))
         return job.task(number) if chunk is None else chunk[number % job.size]
 
+    def holds(self, job: Job, number: int, machine: str) -> bool:
+        """Whether the task's chunk, without its notes, still fits a value with this task on such a machine."""
+        index, offset = divmod(number, job.size)
+        chunk = self._chunks.get((job.id, index)) or job.chunks.get(index)
+        if chunk is None or len(chunk) * (rec.BARE_TASK_BYTES + len(machine)) <= self._most_value:
+            return True
+        others = sum(rec.BARE_TASK_BYTES + len(task.machine) for task in chunk if task.machine)
+        return others + rec.BARE_TASK_BYTES + len(machine) + 16 * len(chunk) <= self._most_value
+
     def set_task(self, job: Job, number: int, record: rec.TaskRecord) -> None:
         """Change a task and, with it, what its team uses."""
         index, offset = divmod(number, job.size)
+        if job.id in self.over:
+            return
         chunk = self._chunks.get((job.id, index))
         if chunk is None:
             known = job.chunks.get(index)
@@ -449,15 +516,19 @@
         limit = self.picture.limits[job.spec.team]
         used = self._teams.get(job.spec.team) or self.picture.used_by_team(job.spec.team)
         room = job.spec.tasks
-        for need, most, now in ((job.spec.cpus, limit.cpus_max, used[0]), (job.spec.gpus, limit.gpus_max, used[1])):
-            if need > 0:
+        for need, most, now in ((job.spec.cpus, limit.most_cpus, used[0]), (job.spec.gpus, limit.most_gpus, used[1])):
+            if need > 0 and most < math.inf:
                 room = min(room, int((most - now + 1e-6) / need))
         return max(0, room)
 
     def finish(self) -> bool:
         """Turn the edited chunks into puts; False if nothing is to be changed."""
         for (job, index), chunk in self._chunks.items():
-            self.puts[rec.chunk_key(job, index)] = msgspec.json.encode(rec.ChunkRecord(chunk))
+            value = msgspec.json.encode(rec.ChunkRecord(chunk))
+            if len(value) > self._most_value:
+                # Notes are for people to read; without them it fits.
+                value = msgspec.json.encode(rec.ChunkRecord([_bare(task) for task in chunk]))
+            self.puts[rec.chunk_key(job, index)] = value
         self._chunks.clear()
         self._teams.clear()
         return bool(self.puts)
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -26,8 +26,14 @@
 TEAMS = "g/t/"
 MACHINES = "g/m/"
 
-#: Bytes that one task's record may take.
-TASK_BYTES = 80
+#: What the records are called, by prefix.
+CALLED = {JOBS: "job", CHUNKS: "tasks", FINALS: "final state", TEAMS: "claim", MACHINES: "machine"}
+
+#: Bytes by which the tasks of a chunk are counted. With a note a record may take more: notes go if a value gets too
+#: big.
+TASK_BYTES = 44
+#: What a task's record takes at the most besides its note and its machine's name.
+BARE_TASK_BYTES = 34
 
 
 class TaskState(IntEnum):
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -54,6 +54,7 @@
         self.ledger.tell()
         self.ledger.flush()
         self.keeper.work()
+        self.node.account()
         return node.take_effects()
 
     def _follow_epoch(self) -> None:
@@ -83,6 +84,10 @@
                 self.node.refuse(asked.number, 503, "can't take requests now", 1)
         elif asked.verb is Verb.ENDED:
             self.ledger.told(asked)
+        elif asked.verb is Verb.HEARD:
+            self.keeper.told(asked)
+        elif asked.verb is Verb.HEARS:
+            self.keeper.hears(asked)
         elif asked.verb is Verb.VIEW:
             self.node.reply(asked.number, 200, encode(self.view()))
         else:
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -15,7 +15,7 @@
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers import MOVED, Placers
 from gladecroft.protocol import wire
-from gladecroft.protocol.wire import ListedMachine, MachineState, MachineType
+from gladecroft.protocol.wire import JobSpec, ListedMachine, MachineState, MachineType
 
 log = logging.getLogger(__name__)
 
@@ -27,6 +27,8 @@
 #: Messages may be held up for minutes.
 GONE_KEPT = timedelta(minutes=10)
 RENT_MOST = 50
+#: So many are booked of a kind that had run out, to see whether there are any again.
+TRY_FIRST = 2
 #: A kind is dear for a job if a core costs that many times as much as on the cheapest kind it allows.
 DEAR = 1.6
 #: The share of a class's patience within which its waiting work should be through.
@@ -61,6 +63,8 @@
     count: int
     since: timedelta
     busy: bool = False
+    #: Sent at least once: it may yet bring machines and is never called off unheard.
+    sent: bool = False
     tries: int = 0
 
 
@@ -78,6 +82,8 @@
         self._bookings: dict[str, Booking] = {}
         self._next_booking = 0
         self._refused: dict[Kind, timedelta] = {}
+        #: How many to book at a time of kinds that have lately run out.
+        self._at_most: dict[Kind, int] = {}
         self._idle_since: dict[str, timedelta] = {}
         self._known_since: dict[str, timedelta] = {}
         self._silent_since: dict[str, timedelta] = {}
@@ -181,13 +187,17 @@
                 names: list[str] = wire.decode(wire.MachineNames, body).machines
                 for name in names:
                     self.coming[name] = Coming(booking.kind, self.node.now)
-                if len(names) < booking.count:
-                    self._refused[booking.kind] = self.node.now + REFUSED_FOR
                 log.info("%s brought %d of %d machines", booking.request, len(names), booking.count)
+                if len(names) < booking.count:
+                    self._no_capacity(booking.kind)
+                elif booking.kind in self._at_most:
+                    self._at_most[booking.kind] *= 2
+                    if self._at_most[booking.kind] > RENT_MOST:
+                        del self._at_most[booking.kind]
             elif status in (400, 503) and b"capacity" in body or status == 400:
                 del self._bookings[booking.request]
-                self._refused[booking.kind] = self.node.now + REFUSED_FOR
                 log.info("%s refused: no capacity for %s", booking.request, booking.kind)
+                self._no_capacity(booking.kind)
             else:
                 booking.tries += 1
                 # What an abandoned booking still brings shows up in the list and is used as it comes.
@@ -195,7 +205,19 @@
                     del self._bookings[booking.request]
 
         rent = wire.Rent(booking.request, booking.kind[0], booking.kind[1], booking.kind[2], booking.count)
-        booking.busy = self.node.cloud("POST", wire.MACHINES_PATH, wire.encode(rent), then)
+        booking.busy = sent = self.node.cloud("POST", wire.MACHINES_PATH, wire.encode(rent), then)
+        booking.sent |= sent
+
+    def _no_capacity(self, kind: Kind) -> None:
+        """A kind has run out. What else is booked of it is called off, and after a while a few are tried first.
+
+        Without that a wave of work asked for hundreds of machines that there were not, again and again, and other
+        kinds' bookings waited behind these for the cloud's budget.
+        """
+        self._refused[kind] = self.node.now + REFUSED_FOR
+        self._at_most[kind] = TRY_FIRST
+        for request in [each.request for each in self._bookings.values() if each.kind == kind and not each.sent]:
+            del self._bookings[request]
 
     # Planning ------------------------------------------------------------------------------------------------
 
@@ -203,7 +225,11 @@
         """Compare the list with what reports: late boots, failed and silent machines, strays."""
         now = self.node.now
         doomed: list[str] = []
-        self._returned = {name: at for name, at in self._returned.items() if now - at < timedelta(seconds=120)}
+        self._returned = {
+            name: at
+            for name, at in self._returned.items()
+            if name in self.picture.machines or now - at < timedelta(seconds=120)
+        }
         for name, machine in self.listed.items():
             if name in self._returned:
                 continue
@@ -215,6 +241,9 @@
                 if name not in self.coming:
                     age = timedelta(seconds=machine.age_s)
                     self.coming[name] = Coming((machine.type, machine.zone, machine.spot), now - age)
+                if name in self.picture.on_machine or not self.membership.settled(self.node.lease):
+                    # It works, or nobody has had the time to tell of it.
+                    continue
                 if now - self.coming[name].since > 3.5 * boot + timedelta(seconds=10):
                     log.info("%s has not come up: returning it", name)
                     doomed.append(name)
@@ -231,6 +260,10 @@
             for name, since in self._silent_since.items()
             if name in self.picture.machines and self.picture.machines[name].use is MachineUse.SILENT
         }
+        for name, record in self.picture.heard.items():
+            # Heard of, but not by its present owner, who would call it silent.
+            if name not in self.listed and now - self._known_since[name] > 2 * self._list_age():
+                self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.SILENT))
         silent = self._silent_parts()
         for name in list(self.picture.aside):
             record = self.picture.machines[name]
@@ -240,14 +273,17 @@
             )
             if drained or (record.use is MachineUse.SILENT and self._presumed_dead(name, silent)):
                 doomed.append(name)
-            elif record.use is MachineUse.RETURNING:
+            elif record.use is MachineUse.RETURNING and name not in self._returned:
                 # Somebody may have placed on it just before its record changed: then it stays.
-                if self.picture.on_machine.get(name):
+                if self.picture.residents(name):
                     self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.UP))
-                elif self.picture.version(machine_key(name)) <= self.picture.revision:
+                elif (
+                    name not in self.picture.on_machine
+                    and self.picture.version(machine_key(name)) <= self.picture.revision
+                ):
                     doomed.append(name)
         self._return(doomed)
-        gone = [name for name, use in self.picture.aside.items() if use is MachineUse.GONE]
+        gone = [name for name, use in self.picture.aside.items() if use is MachineUse.GONE or name in self._returned]
         self._gone_since = {name: self._gone_since.get(name, now) for name in gone}
         for name, since in self._gone_since.items():
             if now - since > GONE_KEPT and name not in self.picture.on_machine:
@@ -331,7 +367,7 @@
         """How many machines each zone has or is to have."""
         self._in_zone = {}
         for record in self.picture.machines.values():
-            if record.use is not MachineUse.GONE:
+            if record.use not in (MachineUse.GONE, MachineUse.RETURNING):
                 self._in_zone[record.zone] = self._in_zone.get(record.zone, 0) + 1
         for coming in self.coming.values():
             self._in_zone[coming.kind[1]] = self._in_zone.get(coming.kind[1], 0) + 1
@@ -502,7 +538,7 @@
             if left <= 0:
                 return
         while left > 0:
-            kind = self._cheapest(job, zones, left_zone)
+            kind = self._cheapest(job, zones, left_zone, want)
             if kind is None:
                 return
             machine = self.placers.types[kind[0]]
@@ -520,18 +556,18 @@
     def _limit_room(self, job: Job) -> int:
         limit = self.picture.limits[job.spec.team]
         used = self.picture.used_by_team(job.spec.team)
-        if job.spec.cpus <= 0:
+        if job.spec.cpus <= 0 or not limit.cpus_max:
             return job.queued_count
         return max(0, int((limit.cpus_max - used[0] + 1e-6) / job.spec.cpus))
 
-    def _cheapest(self, job: Job, zones: dict[str, int], only: str | None) -> Kind | None:
+    def _cheapest(self, job: Job, zones: dict[str, int], only: str | None, want: dict[Kind, int]) -> Kind | None:
         spec = job.spec
         cap = spec.zone_cap()
         best: tuple[float, int, str] | None = None
         choice: Kind | None = None
         cheapest = min(
             (
-                self._core_price(kind, spot)
+                self._core_price(kind, spot, spec)
                 for kind in self.placers.types.values()
                 for zone in kind.zones
                 for spot in (True, False)
@@ -548,7 +584,10 @@
                         continue
                     if self._refused.get((kind.name, zone, spot), timedelta(days=-1)) > self.node.now:
                         continue
-                    price = self._core_price(kind, spot)
+                    at_most = self._at_most.get((kind.name, zone, spot))
+                    if at_most is not None and want.get((kind.name, zone, spot), 0) >= at_most:
+                        continue
+                    price = self._core_price(kind, spot, spec)
                     if price > DEAR * cheapest and self._dear_cpus <= 0:
                         continue
                     rank = (round(price, 4), self._in_zone.get(zone, 0), zone)
@@ -559,8 +598,20 @@
         return choice
 
     @staticmethod
-    def _core_price(kind: MachineType, spot: bool) -> float:
-        return (kind.spot_price if spot else kind.price) / max(kind.cpus, 1e-9)
+    def _core_price(kind: MachineType, spot: bool, spec: JobSpec) -> float:
+        """The price of a core that such tasks can use: what stays empty beside them on the machine is paid for too."""
+        count = min(
+            (
+                int((there + 1e-6) / need)
+                for need, there in (
+                    (spec.cpus, kind.cpus), (spec.gpus, kind.gpus), (spec.memory_gb, kind.memory_gb)
+                )
+                if need > 0
+            ),
+            default=0,
+        )  # fmt: skip
+        usable = count * spec.cpus if count and spec.cpus > 0 else kind.cpus
+        return (kind.spot_price if spot else kind.price) / max(usable, 1e-9)
 
     def _give_back(self, now: timedelta, needed: set[str]) -> None:
         idle_for = timedelta(seconds=self.node.operator.machine_idle)
@@ -573,7 +624,7 @@
             cpus = self.picture.used_on(name)[0]
             used += cpus
             free += kind.cpus - cpus
-            if self.picture.on_machine.get(name) or name in needed:
+            if self.picture.residents(name) or name in needed:
                 self._idle_since.pop(name, None)
                 continue
             since = self._idle_since.setdefault(name, now)
--- a/src/gladecroft/coordination/floor.py
+++ b/src/gladecroft/coordination/floor.py
@@ -73,7 +73,9 @@
 
     def _slot(self, name: str, guaranteed: set[str]) -> Slot | None:
         record = self.picture.machines.get(name)
-        if record is None or record.use is not MachineUse.UP or name in self.ledger.machine_puts:
+        if record is None or record.use is not MachineUse.UP or name in self.picture.doubted:
+            return None
+        if self.ledger.machine_puts.get(name, record) != record:
             return None
         kind = self.types.get(record.type)
         if kind is None:
@@ -89,7 +91,7 @@
             images.update(machine.images)
         residents = [
             self._resident(self.picture.jobs[job], number, task, guaranteed)
-            for (job, number), task in self.picture.on_machine.get(name, {}).items()
+            for (job, number), task in self.picture.residents(name)
         ]
         slot = Slot(
             name, record.zone, record.spot, mine, owner, kind.cpus, kind.gpus, kind.memory_gb, set(images), residents
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -14,11 +14,11 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import MachineRecord, MachineUse, TaskState
-from gladecroft.coordination.ledger import Ledger, Outcome
+from gladecroft.coordination.ledger import LOST, TELL_EVERY, Ledger, Outcome
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked
 from gladecroft.coordination.node import SLACK, Node
-from gladecroft.protocol import wire
+from gladecroft.protocol import peers, wire
 from gladecroft.protocol.wire import Command, Commands, Op, Report, Steward, TaskReport, Why
 from gladecroft.protocol.wire import TaskState as Seen
 
@@ -28,9 +28,12 @@
 RESEND = timedelta(seconds=1.5)
 #: How long a machine may take to find a new owner.
 SETTLED = timedelta(seconds=6)
-MOVE_LIMIT = timedelta(seconds=1)
+#: How long a machine's report waits for the answer whether it moves here; machines wait 4 s for an answer.
+MOVE_LIMIT = timedelta(seconds=2.5)
 BOUNCE_APART = timedelta(seconds=3)
 BOUNCE_WINDOW = timedelta(seconds=20)
+#: A sibling that has not taken in what it is told for so long learns of it by a record.
+TELL_IN_VAIN = timedelta(seconds=3)
 BODY_BUDGET = 48_000
 LOOK_EVERY = timedelta(milliseconds=400)
 
@@ -80,6 +83,16 @@
         #: Jobs of which an attempt has completed: their failures point at the machine.
         self._sound: dict[str, None] = {}
         self._looked_at = timedelta(days=-1)
+        #: For each sibling the machines that it has not been told of, and since when it should have been.
+        self._untold: dict[str, dict[str, timedelta]] = {}
+        self._telling: set[str] = set()
+        self._told_at = timedelta(days=-1)
+        self._members: dict[str, int] = {}
+        #: Machines that came here instead of to their owners, which are to be asked about them.
+        self._to_ask: dict[str, dict[str, None]] = {}
+        self._asking: set[str] = set()
+        #: Owners that don't answer, since when, and when last they did not.
+        self._mute: dict[str, tuple[timedelta, timedelta]] = {}
 
     # Ownership -----------------------------------------------------------------------------------------------
 
@@ -102,6 +115,7 @@
         for name in [name for name in self._owners if name not in owners]:
             del self._owners[name]
         self.picture.touched.update(self.picture.on_machine, self.picture.machines)
+        self._tell_new_members()
 
     def machine(self, name: str) -> Machine:
         machine = self.machines.get(name)
@@ -133,7 +147,7 @@
             return
         owner = self.membership.owner(report.machine, report.zone)
         if owner != node.name:
-            if self._bounce(report.machine):
+            if owner is not None and self._bounce(report.machine, owner):
                 self._moving[report.machine] = (asked, node.now + MOVE_LIMIT)
             else:
                 node.reply(asked.number, 421, wire.encode(Steward(owner)))
@@ -151,28 +165,88 @@
         node.reply(asked.number, 200, wire.encode(Commands(self.token(machine), commands)))
         self.picture.touched.discard(machine.id)
 
-    def _bounce(self, name: str) -> bool:
-        """Whether to ask for another's machine that reports here, because it can't reach its owner.
+    def _bounce(self, name: str, owner: str) -> bool:
+        """Another's machine reports here. Whether it waits for its answer, as it may have to move here.
 
-        A known machine leaves an owner that it has had for a while only when that one does not answer. Right after
-        a change of owner it may be on its way, so then only a second report some time later tells. So too after a
-        time in which nobody could act: the first controller to act again would draw all machines to itself.
+        A known machine moves only if its owner says that it does not hear it, or does not answer for so long that it
+        would have lost its membership if it were dead. Moved at its first report elsewhere, machines left owners that
+        had only refused one report, or were about to be started again; each such epoch made owners refuse more
+        reports, and the moves never ended. Right after a change of owner a machine may still be on its way; so too
+        after a time in which nobody could act.
         """
         now = self.node.now
         since = self._owners.get(name, ("", self.membership.epoch_seen_at))[1]
-        if now - since > SETTLED and name in self.picture.machines and self.membership.settled(SETTLED):
-            log.info("%s can't reach its owner %s: moving it here", name, self.membership.owner(name))
-            self.membership.want_move(name)
+        known = name in self.picture.machines
+        if known and now - since > SETTLED and self.membership.settled(SETTLED):
+            self._to_ask.setdefault(owner, {})[name] = None
             return True
         first = self._bounced.get(name)
         if first is None or now - first > BOUNCE_WINDOW:
             self._bounced[name] = now
         elif now - first >= BOUNCE_APART:
-            log.info("%s keeps coming here, not to %s: moving it here", name, self.membership.owner(name))
-            self.membership.want_move(name)
+            if known:
+                self._to_ask.setdefault(owner, {})[name] = None
+            else:
+                log.info("%s keeps coming here, not to %s: moving it here", name, owner)
+                self.membership.want_move(name)
             return True
         return False
 
+    def _ask_owners(self) -> None:
+        """Ask the owners of machines that came here whether they hear them."""
+        for owner, names in self._to_ask.items():
+            if names and owner not in self._asking:
+                batch = list(names)[: peers.MOST_HEARD]
+                for name in batch:
+                    del names[name]
+                self._ask_owner(owner, batch)
+
+    def _ask_owner(self, owner: str, names: list[str]) -> None:
+        node = self.node
+
+        def then(status: int, body: bytes) -> None:
+            self._asking.discard(owner)
+            heard: list[str] = []
+            if status == 200:
+                self._mute.pop(owner, None)
+                heard = wire.decode(peers.Names, body).machines
+            else:
+                since, last = self._mute.get(owner, (node.now, node.now))
+                if node.now - last > BOUNCE_WINDOW:
+                    since = node.now
+                self._mute[owner] = (since, node.now)
+                if node.now - since < node.ttl * SLACK:
+                    return  # soon it answers again, or another epoch says whose they are
+            for name in names:
+                if name in heard or self.membership.owner(name) != owner:
+                    self._bounced.pop(name, None)
+                    if name in self._moving:
+                        self._moving[name] = (self._moving[name][0], node.now)  # to be answered now
+                elif self.membership.entitled():
+                    log.info("%s can't reach its owner %s: moving it here", name, owner)
+                    self.membership.want_move(name)
+
+        if node.peer(owner, peers.HEARS_PATH, wire.encode(peers.Names(names)), then):
+            self._asking.add(owner)
+
+    def hears(self, asked: Asked) -> None:
+        """Say which of some machines report here."""
+        try:
+            message: peers.Names = wire.decode(peers.Names, asked.body)
+        except msgspec.DecodeError as error:
+            self.node.refuse(asked.number, 400, str(error))
+            return
+        if not self.membership.entitled():
+            self.node.refuse(asked.number, 503, "not entitled to act", 1)
+            return
+        there = [name for name in message.machines if self._heard_lately(name)]
+        self.node.reply(asked.number, 200, wire.encode(peers.Names(there)))
+
+    def _heard_lately(self, name: str) -> bool:
+        machine = self.machines.get(name)
+        heard = None if machine is None else machine.heard_at
+        return heard is not None and self.node.now - heard <= 2.5 * self.node.report
+
     def _answer_moving(self) -> None:
         """Answer the reports of machines that were asked for: they are ours now, or their owner is named."""
         for name, (asked, until) in list(self._moving.items()):
@@ -189,6 +263,8 @@
         old = machine.report
         if old is not None and (report.session, report.seq) <= (old.session, old.seq):
             return False
+        if old is None or machine.lost:
+            self._first(machine, report)
         if old is None or report.session != old.session:
             machine.sent = {}
             if old is not None:
@@ -215,6 +291,85 @@
         self._note_machine(machine, report)
         return True
 
+    # Between controllers -------------------------------------------------------------------------------------
+
+    def _first(self, machine: Machine, report: Report) -> None:
+        """A machine's first report here, or the first after it was given up: all controllers are to know of it, with no
+        change in the state service."""
+        record = MachineRecord(report.type, report.zone, report.spot, report.addr)
+        self.picture.hear(machine.id, record)
+        if machine.id in self.picture.heard or machine.lost:
+            for sibling in self._siblings():
+                self._untold.setdefault(sibling, {})[machine.id] = self.node.now
+
+    def _siblings(self) -> list[str]:
+        epoch = self.membership.epoch
+        return [] if epoch is None else [name for name in epoch.members if name != self.node.name]
+
+    def _tell_new_members(self) -> None:
+        """Who has joined is told of the machines without a record: of one's own and, by the leader, of all."""
+        epoch = self.membership.epoch
+        members = {} if epoch is None else epoch.members
+        for sibling in self._siblings():
+            if self._members.get(sibling) != members[sibling]:
+                self._untold[sibling] = {
+                    name: self.node.now
+                    for name in self.picture.heard
+                    if self.membership.leads() or self.membership.owner(name) == self.node.name
+                }
+        for sibling in [name for name in self._untold if name not in members]:
+            del self._untold[sibling]
+        self._members = dict(members)
+
+    def _tell(self) -> None:
+        node = self.node
+        if node.now - self._told_at < TELL_EVERY:
+            return
+        self._told_at = node.now
+        for sibling, untold in self._untold.items():
+            if not untold or sibling in self._telling:
+                continue
+            batch: list[peers.HeardMachine] = []
+            for name, since in list(untold.items()):
+                record = self.picture.machines.get(name)
+                if record is None or record.use is not MachineUse.UP:
+                    del untold[name]  # its record tells more
+                elif node.now - since > TELL_IN_VAIN and self.membership.entitled():
+                    # Someone who can't be reached would never place there.
+                    del untold[name]
+                    if name in self.picture.heard and name not in self.ledger.machine_puts:
+                        self.ledger.machine_puts[name] = record
+                elif len(batch) < peers.MOST_HEARD:
+                    batch.append(peers.HeardMachine(name, record.type, record.zone, record.spot, record.addr))
+            if batch:
+                self._tell_sibling(sibling, batch)
+
+    def _tell_sibling(self, sibling: str, batch: list[peers.HeardMachine]) -> None:
+        def then(status: int, body: bytes) -> None:
+            self._telling.discard(sibling)
+            if status == 200:
+                untold = self._untold.get(sibling, {})
+                for heard in batch:
+                    untold.pop(heard.name, None)
+
+        if self.node.peer(sibling, peers.HEARD_PATH, wire.encode(peers.Heard(batch)), then):
+            self._telling.add(sibling)
+
+    def told(self, asked: Asked) -> None:
+        """A sibling tells of machines that have reported to it. No proof of anything: what is placed on them is, as
+        everywhere, only what is committed."""
+        try:
+            message: peers.Heard = wire.decode(peers.Heard, asked.body)
+        except msgspec.DecodeError as error:
+            self.node.refuse(asked.number, 400, str(error))
+            return
+        if not self.node.loaded:
+            self.node.refuse(asked.number, 503, "starting", 1)
+            return
+        for heard in message.machines:
+            self.picture.hear(heard.name, MachineRecord(heard.type, heard.zone, heard.spot, heard.addr))
+        self.node.reply(asked.number, 200, b"{}")
+
     def _note_machine(self, machine: Machine, report: Report) -> None:
         known = self.ledger.machine(machine.id)
         use = MachineUse.UP if known is None else known.use
@@ -340,6 +495,8 @@
     def work(self) -> None:
         """Send commands straight to machines whose wanted tasks changed; look after the silent ones."""
         self._answer_moving()
+        self._ask_owners()
+        self._tell()
         if not self.membership.entitled():
             return
         touched, self.picture.touched = self.picture.touched, set()
@@ -445,7 +602,7 @@
         if wanted:
             machine.lost = True
             for key, task in wanted.items():
-                self.ledger.exit(*key, task.attempt, Outcome(False, f"lost {machine.id}"))
+                self.ledger.exit(*key, task.attempt, Outcome(False, f"{LOST}{machine.id}"))
 
     def _silent(self, machine: Machine) -> None:
         known = self.ledger.machine(machine.id)
@@ -461,7 +618,8 @@
         for key, task in self.picture.on_machine.get(name, {}).items():
             self.ledger.exit(*key, task.attempt, Outcome(False, f"returned {name}"))
         known = self.ledger.machine(name)
-        if known is not None:
+        # One that was to be returned stays so: nothing is placed on it, whatever late reports say.
+        if known is not None and known.use is not MachineUse.RETURNING:
             self.ledger.put_machine(name, msgspec.structs.replace(known, use=MachineUse.GONE))
         self.machines.pop(name, None)
         self.picture.stale.add(name)
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -29,8 +29,9 @@
 LEFT_FOR_USERS = 2
 WEIGH_EVERY = timedelta(seconds=2)
 FLUSH_IDLE = timedelta(milliseconds=400)
-#: While writes are short, ends of a job's tasks are gathered this long, so that one write holds many.
-GATHER = timedelta(milliseconds=900)
+#: While writes are short, ends of a job's tasks for which nobody waits are gathered this long, so that one write holds
+#: many.
+GATHER = timedelta(seconds=4)
 #: How often homes are told of ends, when they are told again, and when an owner whom the home does not answer notes
 #: them itself.
 TELL_EVERY = timedelta(milliseconds=150)
@@ -38,6 +39,14 @@
 TELL_IN_VAIN = timedelta(milliseconds=1500)
 
 
+#: A job's chunk, and what ended in it.
+Group = tuple[str, int]
+
+
+#: Begins the note of what was lost with its machine, whose name follows.
+LOST = "lost "
+
+
 class Outcome(msgspec.Struct, frozen=True):
     """How an attempt ended. ``failed``: it counts against the task."""
 
@@ -46,6 +55,9 @@
     failed: bool = False
 
 
+End = tuple[int, int, Outcome]
+
+
 class Ledger:
     def __init__(self, node: Node, membership: Membership) -> None:
         self.node = node
@@ -78,10 +90,15 @@
         if key not in self.exits:
             self.exits[key] = outcome
             self._exit_since[key] = self.node.now
+            self.picture.end((job, number), attempt)
+            if outcome.note.startswith(LOST):
+                # The machine's record may say so only later. Placed there meanwhile, a task would be lost at once.
+                self.picture.doubted.add(outcome.note.removeprefix(LOST))
 
     def _settle(self, key: tuple[str, int, int]) -> None:
         del self.exits[key]
         del self._exit_since[key]
+        self.picture.end(key[:2], None)
         self._told.pop(key, None)
         self._with_home.discard(key)
 
@@ -172,6 +189,10 @@
         if record is None or self.picture.machines.get(machine) != record:
             self.machine_puts[machine] = record
             self.picture.stale.add(machine)
+        elif self.machine_puts.get(machine, record) != record:
+            # What was to be written is no longer so: a machine called silent has been heard again.
+            del self.machine_puts[machine]
+            self.picture.stale.add(machine)
 
     def machine(self, machine: str) -> rec.MachineRecord | None:
         """The machine's record as it will be once what is noted is committed."""
@@ -205,12 +226,14 @@
         change = Change(self.picture, min(ops, budget), MAX_BYTES)
         node.lend()
         self._compose_claims(change)
-        self._compose_exits(change, change.max_ops // 2 if urgent else 0)
+        ends = self._ends()
+        self._compose_exits(change, ends, change.max_ops // 2 if urgent else 0)
         # Machines come in hundreds after a burst of renting; work that can already run is not to wait for them all.
         self._compose_machines(change, change.max_ops // 2 if self.picture.queued else 0)
         self._compose_finals(change)
         for composer in self.composers:
             composer(change)
+        self._compose_done(change, ends)
         self._was_full = not change.room(1, 0)
         self._compose_orphans(change)
         if change.finish():
@@ -235,15 +258,10 @@
         me = self.node.name
         return any(not job.rank and self.membership.job_home(job.spec) == me for job in self.picture.queued.values())
 
-    def _compose_exits(self, change: Change, reserve: int) -> None:
-        """Work ends into the transaction, as many of a chunk's as are known in one write.
-
-        After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them,
-        so some operations are held in reserve for it.
-        """
-        node = self.node
-        groups: dict[tuple[str, int], list[tuple[int, int, Outcome]]] = {}
-        since: dict[tuple[str, int], timedelta] = {}
+    def _ends(self) -> dict[Group, list[End]]:
+        """The ends to be noted here, by chunk, the most pressing chunks first."""
+        groups: dict[Group, list[End]] = {}
+        since: dict[Group, timedelta] = {}
         for key, outcome in list(self.exits.items()):
             name, number, attempt = key
             job = self.picture.jobs.get(name)
@@ -256,32 +274,99 @@
             group = (name, number // job.size)
             groups.setdefault(group, []).append((number, attempt, outcome))
             since.setdefault(group, self._exit_since[key])
-        plenty = node.writes.level >= 0.75 * node.writes.burst
+        return {group: groups[group] for group in sorted(groups, key=lambda group: since[group])}
 
-        def turn(group: tuple[str, int]) -> tuple[int, timedelta]:
-            job = self.picture.jobs[group[0]]
-            ended = groups[group]
-            if job.done + sum(outcome.done for _, _, outcome in ended) >= job.spec.tasks:
-                return 0, since[group]  # its user waits for this
-            return (1 if any(not outcome.done for _, _, outcome in ended) else 2), since[group]
+    def _compose_exits(self, change: Change, ends: dict[Group, list[End]], reserve: int) -> None:
+        """Work ends into the transaction for which somebody waits, as many of a chunk's as are known in one write.
 
-        for group in sorted(groups, key=turn):
-            if not plenty and turn(group)[0] == 2 and node.now - since[group] < GATHER:
-                continue
+        After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them,
+        so some operations are held in reserve for it.
+        """
+        by_job: dict[str, int] = {}
+        for (name, _), ended in ends.items():
+            job = self.picture.jobs[name]
+            counts = len(ended) if job.cancelled else sum(outcome.done for _, _, outcome in ended)
+            by_job[name] = by_job.get(name, 0) + counts
+        ending: set[str] = set()
+        for name, count in by_job.items():
+            job = self.picture.jobs[name]
+            if job.done + count >= job.spec.tasks or job.cancelled and count >= job.occupied:
+                ending.add(name)
+                self._compose_end(change, job, ends)
+        bound = self._bound_teams()
+        for group, ended in ends.items():
+            job = self.picture.jobs[group[0]]
+            if job.id not in change.over and (
+                job.id in ending
+                or job.spec.team in bound
+                or any(
+                    not outcome.done or job.task(number).machine in self.picture.aside for number, _, outcome in ended
+                )
+            ):
+                self._compose_group(change, group, ended, reserve)
+
+    def _compose_end(self, change: Change, job: Job, ends: dict[Group, list[End]]) -> None:
+        """With these ends the job is over: its final state is written at once, with no write of its chunks before."""
+        if self.membership.job_home(job.spec) != self.node.name or not change.room(2, 0, len(job.chunks)):
+            return
+        done = job.done + sum(
+            outcome.done for (name, _), ended in ends.items() if name == job.id for _, _, outcome in ended
+        )
+        for index, version in job.versions.items():
+            change.require(rec.chunk_key(job.id, index), version)
+        self._compose_final(change, job, done)
+        self._drop_chunks(change, job)
+
+    def _drop_chunks(self, change: Change, job: Job) -> None:
+        """Drop the chunks of a job that is over. What does not fit, or has time while writes are short, is dropped
+        later as an orphan."""
+        short = self.node.writes.level < 0.75 * self.node.writes.burst
+        for index in job.chunks:
+            if short or not change.room(1, 0):
+                return
+            change.drop_chunk(job, index)
+
+    def _bound_teams(self) -> set[str]:
+        """Teams whose waiting work may be held up by their limit: what ends of theirs is noted soon."""
+        waiting: dict[str, float] = {}
+        for job in self.picture.queued.values():
+            waiting[job.spec.team] = waiting.get(job.spec.team, 0.0) + job.queued_count * job.spec.cpus
+        return {
+            team
+            for team, cpus in waiting.items()
+            if self.picture.limits[team].gpus_max
+            or self.picture.used_by_team(team)[0] + cpus > self.picture.limits[team].most_cpus
+        }
+
+    def _compose_done(self, change: Change, ends: dict[Group, list[End]]) -> None:
+        """Note completed tasks for which nobody waits: their room counts as free already. While writes are short they
+        are gathered, and come after all else, unless their chunk is written anyway."""
+        node = self.node
+        short = node.writes.level < 0.75 * node.writes.burst
+        for group, ended in ends.items():
             job = self.picture.jobs[group[0]]
-            first = groups[group][0][0]
-            chunks = 0 if change.has_chunk(job, first) else 1
-            if not change.room(chunks + reserve, 0):
+            if job.id in change.over:
                 continue
-            for number, attempt, outcome in groups[group]:
-                task = change.task(job, number)
-                if outcome.done:
-                    after = TaskRecord(TaskState.DONE, attempt, "", task.failures)
-                else:
-                    failures = task.failures + 1 if outcome.failed else task.failures
-                    after = TaskRecord(TaskState.QUEUED, attempt, "", min(failures, 999), outcome.note[:24])
-                change.set_task(job, number, after)
-                change.notes.append(f"{job.id}/{number}#{attempt} on {task.machine} ended: {outcome.note or 'done'}")
+            old = node.now - self._exit_since[(job.id, *ended[0][:2])] >= GATHER
+            if old or not short or change.has_chunk(job, ended[0][0]):
+                self._compose_group(change, group, ended, 0)
+
+    def _compose_group(self, change: Change, group: Group, ended: list[End], reserve: int) -> None:
+        job = self.picture.jobs[group[0]]
+        chunks = 0 if change.has_chunk(job, ended[0][0]) else 1
+        if chunks and not change.room(chunks + reserve, 0):
+            return
+        for number, attempt, outcome in ended:
+            task = change.task(job, number)
+            if task.attempt != attempt or not task.machine:
+                continue
+            if outcome.done:
+                after = TaskRecord(TaskState.DONE, attempt, "", task.failures)
+            else:
+                failures = task.failures + 1 if outcome.failed else task.failures
+                after = TaskRecord(TaskState.QUEUED, attempt, "", min(failures, 999), outcome.note[:24])
+            change.set_task(job, number, after)
+            change.notes.append(f"{job.id}/{number}#{attempt} on {task.machine} ended: {outcome.note or 'done'}")
 
     # Teams --------------------------------------------------------------------------------------------------
 
@@ -313,7 +398,10 @@
                 change.claims.add(team)
 
     def _compose_machines(self, change: Change, reserve: int) -> None:
-        for machine, record in list(self.machine_puts.items()):
+        # What takes a machine out of use comes first.
+        for machine, record in sorted(
+            self.machine_puts.items(), key=lambda put: put[1] is None or put[1].use is rec.MachineUse.UP
+        ):
             if not change.room(1 + reserve, 0):
                 return
             if record is None:
@@ -322,7 +410,7 @@
                 else:
                     del self.machine_puts[machine]
                     self.picture.stale.add(machine)
-            elif self.picture.machines.get(machine) == record:
+            elif self.picture.machines.get(machine) == record and machine not in self.picture.heard:
                 del self.machine_puts[machine]
                 self.picture.stale.add(machine)
             else:
@@ -331,29 +419,29 @@
 
     def _compose_finals(self, change: Change) -> None:
         me = self.node.name
-        short = self.node.writes.level < 0.75 * self.node.writes.burst
         # A finished job's user waits for this; a cancelled one's does not.
         for job in sorted(self.picture.over.values(), key=lambda job: job.cancelled):
             if self.membership.job_home(job.spec) != me:
                 continue
             if any(change.has_chunk(job, index * job.size) for index in job.chunks):
                 continue
+            if job.id in change.over:
+                continue
             if not change.room(2, 0):
                 return
-            change.require(rec.job_key(job.id), job.version)
-            done = not job.cancelled
-            change.puts[rec.final_key(job.id)] = msgspec.json.encode(
-                rec.FinalRecord(done, job.done, "" if done else "cancelled by its user")
-            )
-            change.require(rec.final_key(job.id), 0)
-            change.puts[rec.job_key(job.id)] = None
-            for index in job.chunks:
-                # What does not fit, or has time while writes are short, is dropped later as an orphan.
-                if short or not change.room(1, 0):
-                    break
-                change.require(rec.chunk_key(job.id, index), job.versions[index])
-                change.puts[rec.chunk_key(job.id, index)] = None
-            change.notes.append(f"{job.id} is over: {'done' if done else 'cancelled'}")
+            self._compose_final(change, job, job.done)
+            self._drop_chunks(change, job)
+
+    def _compose_final(self, change: Change, job: Job, count: int) -> None:
+        change.over.add(job.id)
+        change.require(rec.job_key(job.id), job.version)
+        done = not job.cancelled
+        change.puts[rec.final_key(job.id)] = msgspec.json.encode(
+            rec.FinalRecord(done, count, "" if done else "cancelled by its user")
+        )
+        change.require(rec.final_key(job.id), 0)
+        change.puts[rec.job_key(job.id)] = None
+        change.notes.append(f"{job.id} is over: {'done' if done else 'cancelled'}")
 
     def _compose_orphans(self, change: Change) -> None:
         if not self.membership.leads() or self.node.writes.level < 0.75 * self.node.writes.burst:
@@ -374,6 +462,10 @@
 
         def then(status: int, body: bytes) -> None:
             self.busy = False
+            for key, value in change.puts.items():
+                # Refused ones count as well.
+                what = rec.CALLED.get(key[: len(rec.JOBS)], key) + ("" if value is not None else " dropped")
+                node.spend(what if status == 200 else f"refused ({status})")
             if status == 200:
                 revision = wire.decode(wire.TxnReply, body).revision
                 self.unsure -= change.claims
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -30,6 +30,8 @@
 AFTER_FINALS = rec.FINALS + "~"
 #: Stands for the end of the listing.
 LISTED = "~"
+#: An epoch in which only machines move comes at the earliest so long after the one before: one for many machines.
+MOVES_APART = timedelta(seconds=1.5)
 STUCK = timedelta(seconds=2.5)
 
 
@@ -154,9 +156,17 @@
         return home
 
     def _share_out_teams(self) -> None:
-        """Give each team its home by hash, but no controller more than its share of the teams."""
+        """Give each team its home by hash, but no controller more than its share of the teams.
+
+        A team that is the only one has its home at the leader: who rents and returns machines then knows at once which
+        work has ended, though the records don't say so yet.
+        """
         self._homes = {}
-        if not self._members_list:
+        epoch = self.picture.epoch
+        if not self._members_list or epoch is None:
+            return
+        if len(self.picture.limits) == 1:
+            self._homes = dict.fromkeys(self.picture.limits, epoch.leader)
             return
         most = -(-len(self.picture.limits) // len(self._members_list))
         held = dict.fromkeys(self._members_list, 0)
@@ -171,6 +181,13 @@
             return self.picture.epoch.leader if self.picture.epoch is not None else None
         return self.home(spec.team)
 
+    def _of_use(self, machine: str) -> bool:
+        """Whether a machine that was moved is still there."""
+        use = self.picture.aside.get(machine, rec.MachineUse.UP)
+        if use in (rec.MachineUse.GONE, rec.MachineUse.RETURNING):
+            return machine in self.picture.on_machine
+        return machine in self.picture.machines or machine in self.picture.on_machine
+
     def base_token(self) -> int:
         return 0 if self.picture.epoch is None else self.picture.epoch.number << TOKEN_BITS
 
@@ -420,20 +437,21 @@
             return
         live = {name: member.incarnation for name, member in picture.members.items()}
         moves = {m: to for m, to in self._wanted_moves.items() if self.owner(m) != to} if self.entitled() else {}
-        if epoch is not None and epoch.members == live and not moves:
+        moves_only = epoch is not None and epoch.members == live
+        if moves_only and (not moves or node.now - self.epoch_seen_at < MOVES_APART):
             self._mismatch_since = None
             return
         if self._mismatch_since is None:
             self._mismatch_since = node.now
         old = epoch.members if epoch is not None else {}
         order = sorted(live, key=lambda name: (old.get(name) != live[name], live[name]))
-        wait = timedelta() if moves and epoch and epoch.members == live else order.index(node.name) * 2 * RETRY
+        wait = timedelta() if moves_only else order.index(node.name) * 2 * RETRY
         if node.now - self._mismatch_since < wait or not self._ready("propose"):
             return
         leader = epoch.leader if epoch is not None and live.get(epoch.leader) == old.get(epoch.leader) else order[0]
         kept = {m: to for m, to in (epoch.moved if epoch else {}).items() if live.get(to, -1) == old.get(to)}
         kept = {m: to for m, to in {**kept, **moves}.items()
-                if m in picture.machines or m in picture.on_machine or m in moves}  # fmt: skip
+                if m in moves or self._of_use(m)}  # fmt: skip
         number = (epoch.number if epoch else 0) + 1
         record = fitting(rec.EpochRecord(number, leader, live, kept), int(node.cluster.state.value_kb * 1024))
         if len(record.moved) < len(kept):
--- a/src/gladecroft/coordination/messages.py
+++ b/src/gladecroft/coordination/messages.py
@@ -19,6 +19,10 @@
     VIEW = "view"
     #: A sibling tells of attempts that are proven gone.
     ENDED = "ended"
+    #: A sibling tells of machines that have reported to it.
+    HEARD = "heard"
+    #: A sibling asks which of some machines report here.
+    HEARS = "hears"
 
 
 class Asked(msgspec.Struct):
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 
@@ -24,6 +25,7 @@
 EVEN = 0.4
 LEND = 1.7
 LEND_AFTER = timedelta(seconds=10)
+ACCOUNT_EVERY = timedelta(seconds=30)
 #: Two steady clocks may disagree by twice the drift of one.
 SLACK = 1 + 2 * DRIFT
 
@@ -87,6 +89,22 @@
         self._effects: list[Effect] = []
         self._calls: dict[int, tuple[Handler, Target]] = {}
         self._next_call = 0
+        #: What the state service's changes went into since the last account, by cause.
+        self._spent: Counter[str] = Counter()
+        self._account_at = ZERO
+
+    def spend(self, cause: str, amount: int = 1) -> None:
+        self._spent[cause] += amount
+
+    def account(self) -> None:
+        """Log now and then what the changes were used for: they are the scarcest budget."""
+        if self.now - self._account_at < ACCOUNT_EVERY:
+            return
+        self._account_at = self.now
+        if self._spent:
+            parts = ", ".join(f"{cause} {amount}" for cause, amount in self._spent.most_common())
+            log.info("changes in the last %d s: %d: %s", ACCOUNT_EVERY.total_seconds(), self._spent.total(), parts)
+            self._spent.clear()
 
     def share(self, live: int, leader: bool) -> None:
         """Divide the state service's and the cloud's budgets among the live controllers."""
@@ -108,11 +126,14 @@
 
     def lend(self) -> None:
         """Controllers are seldom busy all at once: as long as none is refused, each may use more than its share."""
-        most = 0.9 * self.cluster.state.write_rps
+        state = self.cluster.state
+        most = 0.9 * state.write_rps
         calm = self._refused_at is None or self.now - self._refused_at > LEND_AFTER
         share = min(most, self._write_share * (LEND if calm else 1.0))
         if share != self.writes.rate:
-            self.writes.set(share, share)
+            # Where many share few changes, a second's worth of a share may be less than one transaction: then nothing
+            # that needs several would ever begin. The service allows bursts, and seldom do all want one at once.
+            self.writes.set(share, max(share, min(state.txn_ops / 2, state.write_rps / 4)))
 
     # Calls ---------------------------------------------------------------------------------------------------
 
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -82,7 +82,7 @@
         limits = [span - spec.estimate_s for span in self._aims(job, "finished")]
         if self._has_started(job):
             # Its start is behind it; it can wait as long as its end is not in danger.
-            most = max(spec.cpus, self.picture.limits[spec.team].cpus_max)
+            most = max(spec.cpus, self.picture.limits[spec.team].most_cpus)
             if all(limit - age - work / most > PATIENCE for limit in limits):
                 return CAN_WAIT, work
         else:
@@ -110,7 +110,7 @@
             return False
         most = job.spec.tasks
         limit = self.picture.limits.get(job.spec.team)
-        if limit is not None and job.spec.cpus > 0:
+        if limit is not None and limit.cpus_max > 0 and job.spec.cpus > 0:
             most = min(most, int((limit.cpus_max + 1e-6) / job.spec.cpus))
         return job.begun >= most
 
@@ -206,7 +206,7 @@
 
     def _stop(self, change: Change, job: Job, number: int, note: str) -> bool:
         task = change.task(job, number)
-        if task.state is not TaskState.ACTIVE:
+        if task.state is not TaskState.ACTIVE or self.picture.ended.get((job.id, number)) == task.attempt:
             return False
         if not change.room(0 if change.has_chunk(job, number) else 1, 0):
             return False
@@ -436,6 +436,8 @@
         foreign = bump and gang and not slot.mine and key not in change.puts
         if not change.room((0 if change.has_chunk(job, number) else 1) + foreign, 1, 1):
             return False
+        if not change.holds(job, number, slot.machine):
+            return False  # with names this long not all of a chunk's tasks can be placed at once
         change.require(key)
         if foreign:
             change.put(key, self.picture.machines[slot.machine])
--- a/src/gladecroft/coordination/users.py
+++ b/src/gladecroft/coordination/users.py
@@ -323,7 +323,8 @@
         node.users_want = wave
         if self._changing or not self._changes:
             return
-        if wave and (node.ledger_wants and node.ledgers_turn or node.writes.look(node.now) < WAVE):
+        few = node.writes.look(node.now) < min(WAVE, node.writes.burst)
+        if wave and (few or node.ledger_wants and node.ledgers_turn):
             return
         ops_limit = min(node.cluster.state.txn_ops, max(1, int(node.writes.look(node.now))))
         conditions = {rec.EPOCH: self.picture.version(rec.EPOCH)}
@@ -376,6 +377,7 @@
 
         def then(status: int, body: bytes) -> None:
             self._changing = False
+            node.spend("accepted or cancelled" if status == 200 else f"refused ({status})", len(ops))
             if status == 200:
                 revision = wire.decode(wire.TxnReply, body).revision
                 for op in ops:
--- a/src/gladecroft/protocol/peers.py
+++ b/src/gladecroft/protocol/peers.py
@@ -5,8 +5,12 @@
 import msgspec
 
 ENDED_PATH = "/ended"
+HEARD_PATH = "/heard"
+HEARS_PATH = "/hears"
 #: How many ends go into one message at the most; with the longest names it stays under the limit of a body.
 MOST_ENDED = 300
+#: The same for machines; names are at most 200 bytes long.
+MOST_HEARD = 80
 
 
 class EndedAttempt(msgspec.Struct, gc=False, frozen=True, array_like=True):
@@ -25,3 +29,25 @@
 
     epoch: int
     attempts: list[EndedAttempt]
+
+
+class HeardMachine(msgspec.Struct, gc=False, frozen=True, array_like=True):
+    """A machine that has reported to its owner. What is told of it never changes."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    addr: str
+
+
+class Heard(msgspec.Struct, frozen=True):
+    """From the owner of machines to all other controllers."""
+
+    machines: list[HeardMachine]
+
+
+class Names(msgspec.Struct, frozen=True):
+    """Machines about which their owner is asked, and, in its answer, those of them that it hears."""
+
+    machines: list[str]
--- a/src/gladecroft/protocol/settings.py
+++ b/src/gladecroft/protocol/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from datetime import timedelta
 from pathlib import Path
@@ -43,6 +44,21 @@
     gpus: NotNegative = 0.0
     gpus_max: NotNegative = 0.0
 
+    # A 0 stands for "none": no guarantee, and no limit. (Read as a limit of nothing, every job of such a team would be
+    # refused for good.)
+
+    @property
+    def most_cpus(self) -> float:
+        return self.cpus_max or math.inf
+
+    @property
+    def most_gpus(self) -> float:
+        return self.gpus_max or math.inf
+
+    @property
+    def limited(self) -> bool:
+        return self.cpus_max > 0 or self.gpus_max > 0
+
 
 class Objective(msgspec.Struct, rename={"job_class": "class"}):
     kind: str
--- a/src/gladecroft/service.py
+++ b/src/gladecroft/service.py
@@ -41,6 +41,7 @@
 CONNECT_LIMIT = timedelta(seconds=1)
 ANSWER_LIMIT = timedelta(seconds=4.5)
 VIEW_PATH = "/view"
+SIBLINGS_ASK = {peers.ENDED_PATH: Verb.ENDED, peers.HEARD_PATH: Verb.HEARD, peers.HEARS_PATH: Verb.HEARS}
 BATCH = 256
 
 
@@ -197,8 +198,9 @@
 
     async def _handle_peer(self, request: Request) -> Response:
         path = urlsplit(request.path).path
-        if path == peers.ENDED_PATH:
-            return await self._ask(Verb.ENDED, request.body) if request.method == "POST" else _wrong_method("POST")
+        told = SIBLINGS_ASK.get(path)
+        if told is not None:
+            return await self._ask(told, request.body) if request.method == "POST" else _wrong_method("POST")
         if path != VIEW_PATH:
             return _refusal(404, "no such path")
         return await self._ask(Verb.VIEW) if request.method == "GET" else _wrong_method("GET")
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import shlex
 from datetime import timedelta
 from pathlib import Path
@@ -84,7 +85,7 @@
         elif plain[0] == "team":
             most = float(named["max"])
             self._teams.append({"name": plain[1], "cpus": float(named["cpus"]), "cpus_max": most})
-            self.limits[plain[1]] = most
+            self.limits[plain[1]] = most or math.inf
         elif plain[0] == "type":
             kind = Kind(plain[1], float(named["cpus"]), float(named["memory"]), float(named.get("price", 1)),
                         float(named.get("spot_price", 0.4)), float(named.get("boot", 30)))  # fmt: skip
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,6 +14,7 @@
 from gladecroft.coordination.messages import Answered, Asked, Call, Clock, Event, Reply, Target, Verb, Watch, Watched
 from gladecroft.protocol import wire
 from gladecroft.protocol.settings import Operator, Platform
+from gladecroft.service import SIBLINGS_ASK
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 TICK = timedelta(milliseconds=100)
@@ -166,11 +167,12 @@
         assert self.state is not None and self.cloud is not None
         if call.target is Target.PEER:
             peer = self.peers[call.addr]
+            verb = SIBLINGS_ASK[call.path]
 
             def back(result: Reply) -> None:
                 self.world.send(peer.name, self.name, lambda: answer(result.status, result.body))
 
-            self.world.send(self.name, peer.name, lambda: peer.ask(Verb.ENDED, call.body or b"", "", back))
+            self.world.send(self.name, peer.name, lambda: peer.ask(verb, call.body or b"", "", back))
             return
         if call.target is Target.WORKER:
             worker = self.workers.get(call.addr)
