Mail for siblings out of reach, unknown machines have no owner, direct returns

Cause: since machines that are simply up have no record, a controller that was started again does not know the zone of machines that have not been told of yet; tasks there were counted in no zone. They now count in every zone. For the same reason nobody is the owner of a machine whose zone is not known (a wrong one would have called its work lost while the true owner answered it), the leader tells of working machines that only the list knows, and returns those of which nobody knows anything for long.

Tasks that can't save run on after a notice if their estimate says that they will be through. A controller that places all teams returns idle machines with no record. Ends wait longer while writes are short. A change of owner is told from a machine newly known.

--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -121,6 +121,8 @@
         self.finals: OrderedDict[str, rec.FinalRecord] = OrderedDict()
         self.teams: dict[str, rec.TeamRecord] = {}
         self.machines: dict[str, rec.MachineRecord] = dict(self.heard)
+        #: What controllers that can't reach each other have to say.
+        self.mail: dict[str, rec.MailRecord] = {}
         #: The machines among them that are not simply up.
         self.aside: dict[str, rec.MachineUse] = {}
         #: What the records place on each machine.
@@ -157,9 +159,7 @@
             return False
         if value is None:
             self._versions.pop(key, None)
-            self._gone[key] = version
-            if len(self._gone) > TOMBSTONES:
-                self._gone.popitem(last=False)
+            self._bury(key, version)
         else:
             self._versions[key] = version
         self.changes += 1
@@ -200,6 +200,11 @@
                     self.aside[name] = machine.use
             self.touched.add(name)
             self.stale.add(name)
+        elif kind == rec.MAIL:
+            if value is None:
+                self.mail.pop(name, None)
+            else:
+                self.mail[name] = decode(rec.MailRecord, value)
         elif kind == rec.MEMBERS:
             if value is None:
                 self.members.pop(name, None)
@@ -218,11 +223,29 @@
         if name in self.doubted:
             self.doubted.discard(name)
             self.stale.add(name)
-        if name not in self.machines and rec.machine_key(name) not in self._gone:
+        if name not in self.machines and not self.buried(name):
             self.heard[name] = self.machines[name] = record
             self.touched.add(name)
             self.stale.add(name)
 
+    def forget_machine(self, name: str) -> None:
+        """A machine without a record was returned: late reports and late words of it count no more."""
+        if self.heard.pop(name, None) is not None:
+            self.machines.pop(name, None)
+            self._bury(rec.machine_key(name), self.revision)
+        self.doubted.discard(name)
+        self.touched.add(name)
+        self.stale.add(name)
+
+    def buried(self, machine: str) -> bool:
+        """Whether the machine was returned, as far as this controller remembers."""
+        return rec.machine_key(machine) in self._gone
+
+    def _bury(self, key: str, version: int) -> None:
+        self._gone[key] = version
+        if len(self._gone) > TOMBSTONES:
+            self._gone.popitem(last=False)
+
     def note_final(self, job: str, final: rec.FinalRecord) -> None:
         self.finals[job] = final
         self.finals.move_to_end(job)
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -6,7 +6,8 @@
 g/p/<job>/<chunk>  its tasks, CHUNK of them
 g/f/<job>          a job that is over; kept for ever
 g/t/<team>         the controller that alone places a team's tasks
-g/m/<machine>      a machine that has reported
+g/m/<machine>      a machine of which there is more to say than that it is up
+g/x/<controller>   what this controller has to tell others that it can't reach
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 import msgspec
 
+from gladecroft.protocol.peers import EndedAttempt, HeardMachine
 from gladecroft.protocol.wire import JobSpec
 
 ROOT = "g/"
@@ -25,9 +27,10 @@
 FINALS = "g/f/"
 TEAMS = "g/t/"
 MACHINES = "g/m/"
+MAIL = "g/x/"
 
 #: What the records are called, by prefix.
-CALLED = {JOBS: "job", CHUNKS: "tasks", FINALS: "final state", TEAMS: "claim", MACHINES: "machine"}
+CALLED = {JOBS: "job", CHUNKS: "tasks", FINALS: "final state", TEAMS: "claim", MACHINES: "machine", MAIL: "mail"}
 
 #: Bytes by which the tasks of a chunk are counted. With a note a record may take more: notes go if a value gets too
 #: big.
@@ -110,6 +113,16 @@
     spot: bool
     addr: str
     use: MachineUse = MachineUse.UP
+    #: When the cloud takes it away, if it has said so, by the time of day.
+    until_s: int = 0
+
+
+class MailRecord(msgspec.Struct, gc=False, frozen=True):
+    """Ends of attempts, proven under this epoch, and machines that have reported: as ``protocol.peers`` has them."""
+
+    epoch: int
+    ended: list[EndedAttempt] = []
+    heard: list[HeardMachine] = []
 
 
 def chunk_size(value_kb: float) -> int:
@@ -133,5 +146,9 @@
     return TEAMS + team.encode().hex()
 
 
+def mail_key(controller: str) -> str:
+    return MAIL + controller
+
+
 def machine_key(machine: str) -> str:
     return MACHINES + machine
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -88,6 +88,7 @@
         self._known_since: dict[str, timedelta] = {}
         self._silent_since: dict[str, timedelta] = {}
         self._gone_since: dict[str, timedelta] = {}
+        self._unknown_since: dict[str, timedelta] = {}
         self._returned: dict[str, timedelta] = {}
         self._returning: set[str] = set()
         self._types_at = timedelta(days=-1)
@@ -109,6 +110,7 @@
             self._idle_since.clear()
             self._known_since.clear()
             self._silent_since.clear()
+            self._unknown_since.clear()
             self._returning.clear()
             self._list_busy = False
 
@@ -187,7 +189,9 @@
                 names: list[str] = wire.decode(wire.MachineNames, body).machines
                 for name in names:
                     self.coming[name] = Coming(booking.kind, self.node.now)
-                log.info("%s brought %d of %d machines", booking.request, len(names), booking.count)
+                log.info("%s brought %d of %d %s in %s%s: %s", booking.request, len(names), booking.count,
+                         booking.kind[0], booking.kind[1], " (spot)" if booking.kind[2] else "",
+                         ",".join(names))  # fmt: skip
                 if len(names) < booking.count:
                     self._no_capacity(booking.kind)
                 elif booking.kind in self._at_most:
@@ -241,9 +245,15 @@
                 if name not in self.coming:
                     age = timedelta(seconds=machine.age_s)
                     self.coming[name] = Coming((machine.type, machine.zone, machine.spot), now - age)
-                if name in self.picture.on_machine or not self.membership.settled(self.node.lease):
-                    # It works, or nobody has had the time to tell of it.
+                if name in self.picture.on_machine:
+                    # It works, but nobody has told of it since this controller was started: so that it gets an owner,
+                    # who finds out whether it still lives.
+                    if machine.addr:
+                        record = MachineRecord(machine.type, machine.zone, machine.spot, machine.addr)
+                        self.keeper.tell_of(name, record)
                     continue
+                if not self.membership.settled(self.node.lease):
+                    continue  # nobody has had the time to tell of it
                 if now - self.coming[name].since > 3.5 * boot + timedelta(seconds=10):
                     log.info("%s has not come up: returning it", name)
                     doomed.append(name)
@@ -264,6 +274,7 @@
             # Heard of, but not by its present owner, who would call it silent.
             if name not in self.listed and now - self._known_since[name] > 2 * self._list_age():
                 self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.SILENT))
+        doomed += self._lost_from_sight()
         silent = self._silent_parts()
         for name in list(self.picture.aside):
             record = self.picture.machines[name]
@@ -289,6 +300,20 @@
             if now - since > GONE_KEPT and name not in self.picture.on_machine:
                 self.ledger.put_machine(name, None)
 
+    def _lost_from_sight(self) -> list[str]:
+        """Machines on which the records place work, but of which neither a controller nor the list tells for long.
+
+        Nobody owns them. Returned, their work is proven gone.
+        """
+        unknown = [name for name in self.picture.on_machine if name not in self.picture.machines]
+        self._unknown_since = {name: self._unknown_since.get(name, self.node.now) for name in unknown}
+        long = max(2 * self._list_age(), self.node.lease)
+        return [
+            name
+            for name, since in self._unknown_since.items()
+            if name not in self.listed and self.node.now - since > long
+        ]
+
     def _silent_parts(self) -> dict[str, tuple[int, int]]:
         """For each owner with silent machines, how many of its machines are silent, and how many it has."""
         parts: dict[str, tuple[int, int]] = {}
@@ -327,7 +352,10 @@
 
         def then(status: int, body: bytes) -> None:
             self._returning.difference_update(names)
+            self.picture.doubted.difference_update(names)
+            self.picture.stale.update(names)
             if status == 200:
+                self.keeper.tell_gone([name for name in names if name in self.picture.heard])
                 for name in names:
                     self._returned[name] = self.node.now
                     self.coming.pop(name, None)
@@ -336,6 +364,16 @@
 
         if self.node.cloud("POST", wire.RETURN_PATH, wire.encode(wire.MachineNames(names)), then):
             self._returning.update(names)
+            # Nothing is to be placed there meanwhile.
+            self.picture.doubted.update(names)
+            self.picture.stale.update(names)
+
+    def _places_all(self) -> bool:
+        """Whether nobody else places anything, and nothing is being placed right now: then a machine on which there is
+        nothing can be returned with no word to anybody before."""
+        return not self.ledger.busy and all(
+            self.membership.home(team) == self.node.name and self.ledger.claimed(team) for team in self.picture.limits
+        )
 
     def _plan(self) -> None:
         now = self.node.now
@@ -439,14 +477,10 @@
         if services and sum(max(0.0, bin.cpus) for bin in bins if not bin.kind[2]) - held < reserve:
             return False
         for job in services:
-            zones = self.placers.zones_used(job)
+            zones, cap = self.placers.zone_room(job)
             zones[zone] = zones.get(zone, 0) - 1
             for bin in bins:
-                if (
-                    self.placers.allowed(job.spec, *bin.kind)
-                    and bin.holds(job) > 0
-                    and zones.get(bin.kind[1], 0) < job.spec.zone_cap()
-                ):
+                if self.placers.allowed(job.spec, *bin.kind) and bin.holds(job) > 0 and zones.get(bin.kind[1], 0) < cap:
                     bin.take(job, 1)
                     break
             else:
@@ -510,8 +544,7 @@
         """Put a job's waiting tasks into bins, opening new ones by the cheapest kinds."""
         spec = job.spec
         left = min(job.queued_count, self._limit_room(job))
-        cap = spec.zone_cap()
-        zones = self.placers.zones_used(job) if spec.spread or spec.one_zone else {}
+        zones, cap = self.placers.zone_room(job) if spec.spread or spec.one_zone else ({}, spec.tasks)
         if spec.one_zone and zones:
             left_zone: str | None = next(iter(zones))
         else:
@@ -538,7 +571,7 @@
             if left <= 0:
                 return
         while left > 0:
-            kind = self._cheapest(job, zones, left_zone, want)
+            kind = self._cheapest(job, zones, cap, left_zone, want)
             if kind is None:
                 return
             machine = self.placers.types[kind[0]]
@@ -560,11 +593,11 @@
             return job.queued_count
         return max(0, int((limit.cpus_max - used[0] + 1e-6) / job.spec.cpus))
 
-    def _cheapest(self, job: Job, zones: dict[str, int], only: str | None, want: dict[Kind, int]) -> Kind | None:
+    def _cheapest(
+        self, job: Job, zones: dict[str, int], cap: int, only: str | None, want: dict[Kind, int]
+    ) -> Kind | None:
         spec = job.spec
-        cap = spec.zone_cap()
-        best: tuple[float, int, str] | None = None
-        choice: Kind | None = None
+        options: list[tuple[float, MachineType, str, bool]] = []
         cheapest = min(
             (
                 self._core_price(kind, spot, spec)
@@ -590,12 +623,15 @@
                     price = self._core_price(kind, spot, spec)
                     if price > DEAR * cheapest and self._dear_cpus <= 0:
                         continue
-                    rank = (round(price, 4), self._in_zone.get(zone, 0), zone)
-                    if best is None or rank < best:
-                        best, choice = rank, (kind.name, zone, spot)
-        if best is not None and choice is not None and best[0] > DEAR * cheapest:
-            self._dear_cpus -= self.placers.types[choice[0]].cpus
-        return choice
+                    options.append((price, kind, zone, spot))
+        if not options:
+            return None
+        price, machine, zone, spot = min(
+            options, key=lambda option: (round(option[0], 4), self._in_zone.get(option[2], 0), option[2])
+        )
+        if price > DEAR * cheapest:
+            self._dear_cpus -= machine.cpus
+        return machine.name, zone, spot
 
     @staticmethod
     def _core_price(kind: MachineType, spot: bool, spec: JobSpec) -> float:
@@ -635,6 +671,7 @@
         left = len(idle)
         many = left > spare
         reserve = self.node.operator.machine_reserve * used
+        alone, at_once = self._places_all(), list[str]()
         for _, name, span in sorted(idle):
             if span < idle_for and not (many and span >= IDLE_AT_LEAST):
                 continue
@@ -645,9 +682,14 @@
             free -= kind.cpus
             left -= 1
             many = left > spare
-            # Its record changes first, so that nobody places on it any more; then it is returned.
             log.info("%s is idle: giving it back", name)
-            self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.RETURNING))
+            if alone and name in self.picture.heard:
+                at_once.append(name)
+            else:
+                # Its record changes first, so that nobody places on it any more; then it is returned.
+                self.ledger.put_machine(name, msgspec.structs.replace(record, use=MachineUse.RETURNING))
+        if at_once:
+            self._return(at_once)
 
 
 class _Room:
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -32,7 +32,7 @@
 MOVE_LIMIT = timedelta(seconds=2.5)
 BOUNCE_APART = timedelta(seconds=3)
 BOUNCE_WINDOW = timedelta(seconds=20)
-#: A sibling that has not taken in what it is told for so long learns of it by a record.
+#: A sibling that has not taken in what it is told for so long learns of it by mail.
 TELL_IN_VAIN = timedelta(seconds=3)
 BODY_BUDGET = 48_000
 LOOK_EVERY = timedelta(milliseconds=400)
@@ -141,7 +141,7 @@
             node.refuse(asked.number, 503, "not entitled to act", 1)
             return
         known = self.picture.machines.get(report.machine)
-        if known is not None and known.use is MachineUse.GONE:
+        if self.picture.buried(report.machine) or known is not None and known.use is MachineUse.GONE:
             # The report was on its way when the machine was returned. Taken as news it would draw work to nowhere.
             node.refuse(asked.number, 503, "this machine was returned", 1)
             return
@@ -245,7 +245,7 @@
     def _heard_lately(self, name: str) -> bool:
         machine = self.machines.get(name)
         heard = None if machine is None else machine.heard_at
-        return heard is not None and self.node.now - heard <= 2.5 * self.node.report
+        return heard is not None and self.node.now - heard <= 1.25 * self.node.report + 2 * MARGIN
 
     def _answer_moving(self) -> None:
         """Answer the reports of machines that were asked for: they are ours now, or their owner is named."""
@@ -302,6 +302,12 @@
             for sibling in self._siblings():
                 self._untold.setdefault(sibling, {})[machine.id] = self.node.now
 
+    def tell_of(self, name: str, record: MachineRecord) -> None:
+        """Tell all of a machine that only the cloud has told of."""
+        self.picture.hear(name, record)
+        for sibling in self._siblings():
+            self._untold.setdefault(sibling, {}).setdefault(name, self.node.now)
+
     def _siblings(self) -> list[str]:
         epoch = self.membership.epoch
         return [] if epoch is None else [name for name in epoch.members if name != self.node.name]
@@ -326,23 +332,24 @@
         if node.now - self._told_at < TELL_EVERY:
             return
         self._told_at = node.now
+        vain: dict[str, None] = {}
         for sibling, untold in self._untold.items():
-            if not untold or sibling in self._telling:
+            if not untold:
                 continue
             batch: list[peers.HeardMachine] = []
             for name, since in list(untold.items()):
                 record = self.picture.machines.get(name)
                 if record is None or record.use is not MachineUse.UP:
                     del untold[name]  # its record tells more
-                elif node.now - since > TELL_IN_VAIN and self.membership.entitled():
+                    continue
+                if node.now - since > TELL_IN_VAIN:
                     # Someone who can't be reached would never place there.
-                    del untold[name]
-                    if name in self.picture.heard and name not in self.ledger.machine_puts:
-                        self.ledger.machine_puts[name] = record
-                elif len(batch) < peers.MOST_HEARD:
+                    vain[name] = None
+                if len(batch) < peers.MOST_HEARD:
                     batch.append(peers.HeardMachine(name, record.type, record.zone, record.spot, record.addr))
-            if batch:
+            if batch and sibling not in self._telling:
                 self._tell_sibling(sibling, batch)
+        self.ledger.untold_machines = vain
 
     def _tell_sibling(self, sibling: str, batch: list[peers.HeardMachine]) -> None:
         def then(status: int, body: bytes) -> None:
@@ -366,6 +373,9 @@
         if not self.node.loaded:
             self.node.refuse(asked.number, 503, "starting", 1)
             return
+        for name in message.gone:
+            self.picture.forget_machine(name)
+            self.machines.pop(name, None)
         for heard in message.machines:
             self.picture.hear(heard.name, MachineRecord(heard.type, heard.zone, heard.spot, heard.addr))
         self.node.reply(asked.number, 200, b"{}")
@@ -377,9 +387,13 @@
             return
         if use is MachineUse.SILENT:
             use = MachineUse.UP
-        if report.notice_s is not None and use is not MachineUse.BAD:
-            use = MachineUse.LEAVING
-        self.ledger.put_machine(machine.id, MachineRecord(report.type, report.zone, report.spot, report.addr, use))
+        until = 0 if known is None else known.until_s
+        if report.notice_s is not None:
+            until = until or int(self.node.wall.timestamp() + report.notice_s)
+            if use is not MachineUse.BAD:
+                use = MachineUse.LEAVING
+        record = MachineRecord(report.type, report.zone, report.spot, report.addr, use, until)
+        self.ledger.put_machine(machine.id, record)
 
     def _judge(self, machine: Machine) -> None:
         """Compare present with wanted and note the attempts that are proven gone."""
@@ -575,7 +589,10 @@
             return
         self._looked_at = node.now
         for name in {*self.picture.on_machine, *self.picture.machines}:
-            if self.membership.owner(name) == node.name:
+            owner = self.membership.owner(name) or ""
+            # Known from here on, not from the next epoch on: else that would count as a change of owner.
+            self._owners.setdefault(name, (owner, node.now))
+            if owner == node.name:
                 self._watch_over(self.machine(name))
         for name in [name for name in self.machines if name not in self.picture.machines]:
             machine = self.machines[name]
@@ -610,6 +627,13 @@
             log.info("%s is silent", machine.id)
             self.ledger.put_machine(machine.id, msgspec.structs.replace(known, use=MachineUse.SILENT))
 
+    def tell_gone(self, names: list[str]) -> None:
+        """Tell the siblings of returned machines. Who does not hear of it finds them silent."""
+        for sibling in self._siblings():
+            for start in range(0, len(names), peers.MOST_HEARD):
+                body = wire.encode(peers.Heard([], names[start : start + peers.MOST_HEARD]))
+                self.node.peer(sibling, peers.HEARD_PATH, body, lambda status, body: None)
+
     def returned(self, name: str) -> None:
         """The cloud has answered that the machine is gone, with everything on it."""
         self.ledger.gone[name] = None
@@ -618,6 +642,9 @@
         for key, task in self.picture.on_machine.get(name, {}).items():
             self.ledger.exit(*key, task.attempt, Outcome(False, f"returned {name}"))
         known = self.ledger.machine(name)
+        if name in self.picture.heard and name not in self.picture.on_machine:
+            self.picture.forget_machine(name)
+            known = None
         # One that was to be returned stays so: nothing is placed on it, whatever late reports say.
         if known is not None and known.use is not MachineUse.RETURNING:
             self.ledger.put_machine(name, msgspec.structs.replace(known, use=MachineUse.GONE))
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -32,8 +32,11 @@
 #: While writes are short, ends of a job's tasks for which nobody waits are gathered this long, so that one write holds
 #: many.
 GATHER = timedelta(seconds=4)
-#: How often homes are told of ends, when they are told again, and when an owner whom the home does not answer notes
-#: them itself.
+GATHER_MOST = timedelta(seconds=12)
+#: What siblings can't be told is written at most this often, many things in one value.
+MAIL_EVERY = timedelta(seconds=1)
+#: How often homes are told of ends, when they are told again, and after how long an owner whom the home does not answer
+#: writes them into its mail.
 TELL_EVERY = timedelta(milliseconds=150)
 TELL_AGAIN = timedelta(seconds=2)
 TELL_IN_VAIN = timedelta(milliseconds=1500)
@@ -83,6 +86,10 @@
         self._seen: tuple[int, int, int] = (-1, 0, 0)
         self._weighed_at = timedelta(days=-1)
         self._was_full = False
+        #: Machines of which some sibling could long not be told.
+        self.untold_machines: dict[str, None] = {}
+        self._mail_read: dict[str, tuple[int, int]] = {}
+        self._mailed_at = timedelta(days=-1)
 
     def exit(self, job: str, number: int, attempt: int, outcome: Outcome) -> None:
         """Note that an attempt is proven gone."""
@@ -127,9 +134,10 @@
         large fleet failed because another controller had just changed the same team or job.
         """
         node, epoch = self.node, self.picture.epoch
-        if not self.exits or node.now - self._told_at < TELL_EVERY or epoch is None or not self.membership.entitled():
+        if node.now - self._told_at < TELL_EVERY or epoch is None or not self.membership.entitled():
             return
         self._told_at = node.now
+        self._read_mail(epoch.number)
         batches: dict[str, list[peers.EndedAttempt]] = {}
         for key, outcome in self.exits.items():
             job = self.picture.jobs.get(key[0])
@@ -170,18 +178,77 @@
         if epoch is None or epoch.number != message.epoch or not self.membership.entitled():
             self.node.refuse(asked.number, 503, "another epoch", 1)
             return
-        for ended in message.attempts:
+        self._take_ended(message.attempts)
+        self.node.reply(asked.number, 200, b"{}")
+
+    def _take_ended(self, attempts: list[peers.EndedAttempt]) -> None:
+        for ended in attempts:
             job = self.picture.jobs.get(ended.job)
             if job is not None and 0 <= ended.number < job.spec.tasks:
                 outcome = Outcome(ended.done, ended.note, ended.failed)
                 self.exit(ended.job, ended.number, ended.attempt, outcome)
-        self.node.reply(asked.number, 200, b"{}")
+
+    def _read_mail(self, epoch: int) -> None:
+        """Take in what siblings have written who can't reach everybody. Ends count as if they had been told."""
+        for sibling, mail in self.picture.mail.items():
+            version = self.picture.version(rec.mail_key(sibling))
+            if sibling == self.node.name or self._mail_read.get(sibling) == (version, epoch):
+                continue
+            self._mail_read[sibling] = (version, epoch)
+            if mail.epoch == epoch:
+                self._take_ended(
+                    [
+                        ended
+                        for ended in mail.ended
+                        if ended.job in self.picture.jobs
+                        and self.membership.job_home(self.picture.jobs[ended.job].spec) == self.node.name
+                    ]
+                )
+            for heard in mail.heard:
+                self.picture.hear(heard.name, rec.MachineRecord(heard.type, heard.zone, heard.spot, heard.addr))
+
+    def _compose_mail(self, change: Change) -> None:
+        """Write what siblings have long not been told, as much as fits a value."""
+        node, epoch = self.node, self.picture.epoch
+        if epoch is None or node.now - self._mailed_at < MAIL_EVERY or not change.room(1, 0):
+            return
+        size = 100
+        ended: list[peers.EndedAttempt] = []
+        heard: list[peers.HeardMachine] = []
+        for key, outcome in self.exits.items():
+            if key in self._with_home or node.now - self._exit_since[key] < TELL_IN_VAIN:
+                continue
+            job = self.picture.jobs.get(key[0])
+            if job is None or not self._left_to_home(key, job):
+                continue
+            each = peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed)
+            size += len(msgspec.json.encode(each)) + 1
+            if size > self.picture.value_bytes:
+                break
+            ended.append(each)
+        for name in self.untold_machines:
+            record = self.picture.heard.get(name)
+            if record is not None:
+                known = peers.HeardMachine(name, record.type, record.zone, record.spot, record.addr)
+                size += len(msgspec.json.encode(known)) + 1
+                if size > self.picture.value_bytes:
+                    # No room in the mail: a record of its own tells of it.
+                    self.machine_puts.setdefault(name, record)
+                else:
+                    heard.append(known)
+        before = self.picture.mail.get(node.name)
+        if before is not None and (before.epoch == epoch.number or not ended):
+            if set(ended) <= set(before.ended) and set(heard) <= set(before.heard):
+                return
+        elif not ended and not heard:
+            return
+        change.put(rec.mail_key(node.name), rec.MailRecord(epoch.number, ended, heard))
+        self._mailed_at = node.now
 
     def _left_to_home(self, key: tuple[str, int, int], job: Job) -> bool:
-        """Whether an end is the home's to note: it knows of it, or will soon."""
-        if self.membership.job_home(job.spec) == self.node.name:
-            return False
-        return key in self._with_home or self.node.now - self._exit_since[key] < TELL_IN_VAIN
+        """Whether an end is the home's to note. If the home can't be told it learns of it by mail: when owners wrote
+        such ends themselves, each cost a change, out of the small shares of those who place nothing."""
+        return self.membership.job_home(job.spec) != self.node.name
 
     # Machines -----------------------------------------------------------------------------------------------
 
@@ -231,6 +298,7 @@
         # Machines come in hundreds after a burst of renting; work that can already run is not to wait for them all.
         self._compose_machines(change, change.max_ops // 2 if self.picture.queued else 0)
         self._compose_finals(change)
+        self._compose_mail(change)
         for composer in self.composers:
             composer(change)
         self._compose_done(change, ends)
@@ -343,12 +411,14 @@
         are gathered, and come after all else, unless their chunk is written anyway."""
         node = self.node
         short = node.writes.level < 0.75 * node.writes.burst
+        spare = node.writes.level - len(change.puts) >= 0.5 * node.writes.burst
         for group, ended in ends.items():
             job = self.picture.jobs[group[0]]
             if job.id in change.over:
                 continue
-            old = node.now - self._exit_since[(job.id, *ended[0][:2])] >= GATHER
-            if old or not short or change.has_chunk(job, ended[0][0]):
+            age = node.now - self._exit_since[(job.id, *ended[0][:2])]
+            due = not short or age >= (GATHER if spare else GATHER_MOST)
+            if due or change.has_chunk(job, ended[0][0]):
                 self._compose_group(change, group, ended, 0)
 
     def _compose_group(self, change: Change, group: Group, ended: list[End], reserve: int) -> None:
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -128,7 +128,11 @@
 
     def owner(self, machine: str, zone: str | None = None) -> str | None:
         """Whose part the machine is in: a controller of its own zone if there is one, so that zones which can't
-        reach each other go on working inside. ``zone`` serves for machines without a record."""
+        reach each other go on working inside. ``zone`` serves for machines that are not known yet.
+
+        Of a machine whose zone is not known nobody is the owner. If such a one were taken for its owner it would sooner
+        or later call the machine's work lost, while the true owner goes on answering it.
+        """
         epoch = self.picture.epoch
         if epoch is None or not epoch.members:
             return None
@@ -136,6 +140,8 @@
         if moved in epoch.members:
             return moved
         known = self.picture.machines.get(machine)
+        if known is None and zone is None:
+            return None
         where = (machine, known.zone if known is not None else zone or "")
         owner = self._owners.get(where)
         if owner is None:
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -24,6 +24,10 @@
 STARVED = 3.0
 CAN_WAIT = 100
 MOVED = "moved from"
+#: Stands for the zone of a machine that is not known.
+UNKNOWN = "?"
+#: So many seconds before a machine is taken, what still runs there is stopped, so that its end is known at once.
+LAST_MOMENT = 3.0
 MOVES_AT_ONCE = 2
 #: In a large fleet one more service may move at a time for so many machines.
 MACHINES_PER_MOVE = 20
@@ -122,13 +126,22 @@
             known = self._patiences[job.spec.job_class] = min((span for span in spans if span > 0), default=PATIENCE)
         return known
 
+    def zone_room(self, job: Job) -> tuple[dict[str, int], int]:
+        """How many of the job's tasks are in each zone, and how many may be.
+
+        A task on a machine that this controller does not know (any more, or yet) may be in any zone. Counted in none,
+        it let more than half of a service into one zone after all controllers had been started again.
+        """
+        zones = self.zones_used(job)
+        return zones, job.spec.zone_cap() - zones.pop(UNKNOWN, 0)
+
     def zones_used(self, job: Job, change: Change | None = None) -> dict[str, int]:
         zones: dict[str, int] = {}
         for number, task in job.placed():
             now = task if change is None else change.task(job, number)
             machine = self.picture.machines.get(now.machine) or self.picture.machines.get(task.machine)
             if now.machine or task.machine:
-                zone = machine.zone if machine is not None else "?"
+                zone = machine.zone if machine is not None else UNKNOWN
                 zones[zone] = zones.get(zone, 0) + 1
         return zones
 
@@ -143,13 +156,21 @@
             if use not in (MachineUse.LEAVING, MachineUse.BAD):
                 continue
             why = "notice" if use is MachineUse.LEAVING else "bad machine"
+            until_s = self.picture.machines[name].until_s if use is MachineUse.LEAVING else 0
             for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
                 job = self.picture.jobs[job_name]
-                if task.state is not TaskState.ACTIVE or job.cancelled:
+                if task.state is not TaskState.ACTIVE or job.cancelled or self._ends_in_time(job, task, until_s):
                     continue
                 if self.membership.job_home(job.spec) == self.node.name:
                     self._stop(change, job, number, f"{why} {name}")
 
+    def _ends_in_time(self, job: Job, task: TaskRecord, until_s: int) -> bool:
+        """Whether a task that can't save will probably end before its machine is taken. Stopped, it begins anew."""
+        now = self.node.wall.timestamp()
+        if job.spec.checkpoint_s > 0 or job.spec.kind is not Kind.ARRAY or until_s - now <= LAST_MOMENT:
+            return False
+        return job.spec.estimate_s - (now - task.placed_s) <= until_s - now
+
     def move(self, change: Change) -> None:
         """Move our services off machines that are being emptied, a few at a time and only to where there is room."""
         me = self.node.name
@@ -188,9 +209,8 @@
                     on_the_way += 1
 
     def _where_else(self, job: Job, inside: bool, zone: str) -> Offer | None:
-        zones = self.zones_used(job)
+        zones, cap = self.zone_room(job)
         zones[zone] = zones.get(zone, 0) - 1
-        cap = job.spec.zone_cap()
         need = self._need(job, inside, self.node.name)
         usable = [
             slot
@@ -260,8 +280,9 @@
         ours = home == self.node.name and claimed
         room = min(change.team_room(job), most)
         why = ""
-        zones = self.zones_used(job) if spec.spread or spec.one_zone else {}
-        cap = spec.zone_cap()
+        zones, cap = self.zone_room(job) if spec.spread or spec.one_zone else ({}, spec.tasks)
+        if spec.one_zone and cap < spec.tasks:
+            room, why = 0, "some of its machines are not known yet"
         need = self._need(job, inside, home)
         high = need.rank <= self.line
         taken = evicted = 0
@@ -386,7 +407,7 @@
 
     def _gang_offers(self, job: Job, need: Need, count: int, slots: list[Slot]) -> tuple[list[Offer], bool]:
         """An offer for each task, as far as they go, with their room set aside, and whether any room must be freed."""
-        zones, cap = self.zones_used(job), job.spec.zone_cap()
+        zones, cap = self.zone_room(job)
         usable = self._one_zone(slots, zones, need, job) if job.spec.one_zone else slots
         offers: list[Offer] = []
         pending = False
--- a/src/gladecroft/protocol/peers.py
+++ b/src/gladecroft/protocol/peers.py
@@ -42,9 +42,10 @@
 
 
 class Heard(msgspec.Struct, frozen=True):
-    """From the owner of machines to all other controllers."""
+    """From the owner of machines, or the leader, to all other controllers. ``gone``: returned to the cloud."""
 
     machines: list[HeardMachine]
+    gone: list[str] = []
 
 
 class Names(msgspec.Struct, frozen=True):
