--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,6 +9,7 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.coordination.ledger import Outcome
 from gladecroft.coordination.messages import Answered, Asked, Call, Target, Verb
 from gladecroft.coordination.placement import HighPlacer, LowSide, Ranking
 from gladecroft.protocol import peers, wire
@@ -197,3 +198,39 @@
     assert len(pages) == len(scenario.controllers)
     assert scenario.oracle.told["wk-1"] == scenario.oracle.told["wk-700123"] == "done"
     assert not [start for start in scenario.oracle.starts if start[1][0] == "wk-700123"]
+
+
+def test_ends_are_gathered_while_changes_are_short_and_the_last_ones_come_with_the_final_state() -> None:
+    rig = Rig()
+    core = rig.core
+    spec = msgspec.structs.replace(SPEC, id="wk-2", kind=wire.Kind.ARRAY, tasks=3)
+    rig.put(rec.EPOCH, rec.EpochRecord(2, "n0", {"n0": 7, "n1": 8}, {"m-1": "n0"}))
+    core.node.picture.apply("g/j/wk-1", None, rig.revision)  # nothing waits for the team's limit
+    rig.put("g/j/wk-2", rec.JobRecord(spec, 0))
+    rig.put("g/p/wk-2/0", rec.ChunkRecord([TaskRecord(TaskState.ACTIVE, 1, "m-1")] * 3))
+    core.membership._homes["t"] = "n0"
+    core.membership._last_renewal = clock(100_000).steady
+    core.node.state_ok_at = clock(100).steady
+
+    def committed(at: float) -> list[dict[str, object]]:
+        """What is committed in a step, with changes short; each commit is answered."""
+        core.node.now = clock(at).steady
+        core.node.writes.look(core.node.now)
+        core.node.writes.level = 0.7 * core.node.writes.burst
+        core.membership._entitled_until = clock(10_000).steady
+        calls = commits([*core.step(clock(at), [])])
+        for call in calls:
+            rig.revision += 1
+            core.step(clock(at), [Answered(call.number, 200, msgspec.json.encode({"ledger": rig.revision}))])
+        return [op for call in calls for op in msgspec.json.decode(call.body or b"").get("apply", [])]
+
+    committed(200)
+    core.ledger.exit("wk-2", 0, 1, Outcome(True))
+    core.ledger.exit("wk-2", 1, 1, Outcome(True))
+    assert [op for at in (201, 202, 203) for op in committed(at) if "wk-2" in str(op)] == []
+    assert not core.ledger.busy  # nothing but the wait kept them
+    core.ledger.exit("wk-2", 2, 1, Outcome(True))
+    ops = [op for op in committed(203.5) if "wk-2" in str(op)]
+    assert {"write": "g/f/wk-2", "data": {"done": True, "tasks": 3}} in ops
+    assert {"drop": "g/j/wk-2"} in ops
+    assert not [op for op in ops if op.get("write") == "g/p/wk-2/0"]
