--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -8,7 +8,7 @@
 
 import logging
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterator
 from typing import Any
 
@@ -144,7 +144,9 @@
         #: Machines that have lost their work and of which no record or owner has said anything since.
         self.doubted: set[str] = set()
         self._used: dict[str, tuple[float, float, float]] = {}
-        self._team_use: tuple[int, dict[str, tuple[float, float]]] = (-1, {})
+        #: How many attempts each team has of each size (cores, cards): counted as they come and go, since looking
+        #: through all jobs after every change took steps that grew with the fleet.
+        self._team_use: dict[str, Counter[tuple[float, float]]] = {}
         self._versions: dict[str, int] = {}
         self._gone: OrderedDict[str, int] = OrderedDict()
         self._orphans: dict[str, dict[int, tuple[list[rec.TaskRecord], int]]] = {}
@@ -295,6 +297,7 @@
             self.gang_teams[job.spec.team] -= 1
         for jobs in (self.queued, self.over, self.gangs):
             jobs.pop(name, None)
+        self._count_use(job.spec, -job.occupied)
         for number, task in job.placed():
             self._lift(name, number, task.machine)
         if job.chunks:
@@ -316,6 +319,7 @@
             raise ValueError("a chunk has the wrong length")
         base = index * self.size
         old = job.chunks.get(index)
+        occupied = job.occupied
         for offset in range(job.chunk_length(index)):
             before = old[offset] if old is not None else _EMPTY
             after = chunk[offset] if chunk is not None else _EMPTY
@@ -337,6 +341,8 @@
         else:
             job.chunks[index] = chunk
             job.versions[index] = version
+        if job.occupied != occupied:
+            self._count_use(job.spec, job.occupied - occupied)
         self._sort_in(job)
 
     def _lift(self, name: str, number: int, machine: str) -> None:
@@ -359,15 +365,19 @@
 
     def used_by_team(self, team: str) -> tuple[float, float]:
         """Cores and cards that the team's attempts take, from their commit until they are proven gone."""
-        if self._team_use[0] != self.changes:
-            sums: dict[str, list[float]] = {}
-            for job in self.jobs.values():
-                if job.occupied:
-                    total = sums.setdefault(job.spec.team, [0.0, 0.0])
-                    total[0] += job.occupied * job.spec.cpus
-                    total[1] += job.occupied * job.spec.gpus
-            self._team_use = (self.changes, {name: (cpus, gpus) for name, (cpus, gpus) in sums.items()})
-        return self._team_use[1].get(team, (0.0, 0.0))
+        cpus = gpus = 0.0
+        for (each_cpus, each_gpus), count in self._team_use.get(team, {}).items():
+            cpus += count * each_cpus
+            gpus += count * each_gpus
+        return cpus, gpus
+
+    def _count_use(self, spec: JobSpec, step: int) -> None:
+        """Count attempts of a job that have come or gone."""
+        sizes = self._team_use.setdefault(spec.team, Counter())
+        size = (spec.cpus, spec.gpus)
+        sizes[size] += step
+        if not sizes[size]:
+            del sizes[size]
 
     def end(self, key: TaskKey, attempt: int | None) -> None:
         """Note that an attempt has ended, ahead of the records; None: they say it now, or it was not so."""
--- a/src/gladecroft/cli.py
+++ b/src/gladecroft/cli.py
@@ -65,7 +65,9 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
     try:
-        anyio.run(Service(platform, operator).run)
+        # asyncio's own loop asks the kernel for news at every turn and takes sockets off its list between reads; in a
+        # large fleet that was a third of all processor time.
+        anyio.run(Service(platform, operator).run, backend_options={"use_uvloop": True})
     except KeyboardInterrupt:
         sys.exit(130)
     except OSError as error:
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from gladecroft.bookkeeping.records import MachineUse
+from gladecroft.coordination.consent import Consent
 from gladecroft.coordination.fleet import Fleet
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
@@ -24,8 +25,9 @@
     def __init__(self, platform: Platform, operator: Operator) -> None:
         self.node = Node(platform, operator)
         self.membership = Membership(self.node)
+        self.consent = Consent(self.node, self.membership)
         self.ledger = Ledger(self.node, self.membership)
-        self.keeper = Keeper(self.node, self.membership, self.ledger)
+        self.keeper = Keeper(self.node, self.membership, self.ledger, self.consent)
         self.placers = Placers(self.node, self.membership, self.keeper, self.ledger)
         self.fleet = Fleet(self.node, self.membership, self.keeper, self.ledger, self.placers)
         self.users = Users(self.node, self.membership, self.placers.fits)
@@ -48,6 +50,7 @@
             self._follow_epoch()
         self.membership.tick()
         self._follow_epoch()
+        self.consent.tick()
         self.users.tick()
         self.keeper.tick()
         self.fleet.tick()
@@ -61,6 +64,7 @@
         self.membership.see_epoch()
         if self.membership.changed:
             self.membership.changed = False
+            self.consent.epoch_changed()
             self.ledger.epoch_changed(self.membership.continuous)
             self.keeper.epoch_changed(self.membership.continuous)
             self.placers.floor.all_stale()
@@ -88,13 +92,17 @@
             self.keeper.told(asked)
         elif asked.verb is Verb.HEARS:
             self.keeper.hears(asked)
+        elif asked.verb is Verb.CONSENT:
+            self.consent.asked(asked)
         elif asked.verb is Verb.VIEW:
             self.node.reply(asked.number, 200, encode(self.view()))
         else:
             self.users.asked(asked)
 
     def healthy(self) -> bool:
-        return self.node.loaded and not self.node.state_down() and bool(self.placers.types)
+        # In an outage for all no other controller would serve users better; the one who alone is refused steps aside.
+        served = not self.node.state_down() or self.consent.outage()
+        return self.node.loaded and served and bool(self.placers.types)
 
     def view(self) -> dict[str, Any]:
         """This controller's own view, for operators; no jobs in it."""
--- a/src/gladecroft/coordination/keeper.py
+++ b/src/gladecroft/coordination/keeper.py
@@ -14,6 +14,7 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import MachineRecord, MachineUse, TaskState
+from gladecroft.coordination.consent import Consent
 from gladecroft.coordination.ledger import LOST, TELL_EVERY, Ledger, Outcome
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked
@@ -36,6 +37,8 @@
 TELL_IN_VAIN = timedelta(seconds=3)
 BODY_BUDGET = 48_000
 LOOK_EVERY = timedelta(milliseconds=400)
+#: How often all known machines are gone through for new ones of ours that have not reported.
+SURVEY_EVERY = timedelta(seconds=1.2)
 
 TaskKey = tuple[str, int]
 
@@ -71,11 +74,12 @@
 
 
 class Keeper:
-    def __init__(self, node: Node, membership: Membership, ledger: Ledger) -> None:
+    def __init__(self, node: Node, membership: Membership, ledger: Ledger, consent: Consent) -> None:
         self.node = node
         self.picture = node.picture
         self.membership = membership
         self.ledger = ledger
+        self.consent = consent
         self.machines: dict[str, Machine] = {}
         self._bounced: dict[str, timedelta] = {}
         self._owners: dict[str, tuple[str, timedelta]] = {}
@@ -83,6 +87,7 @@
         #: Jobs of which an attempt has completed: their failures point at the machine.
         self._sound: dict[str, None] = {}
         self._looked_at = timedelta(days=-1)
+        self._surveyed_at = timedelta(days=-1)
         #: For each sibling the machines that it has not been told of, and since when it should have been.
         self._untold: dict[str, dict[str, timedelta]] = {}
         self._telling: set[str] = set()
@@ -115,6 +120,7 @@
         for name in [name for name in self._owners if name not in owners]:
             del self._owners[name]
         self.picture.touched.update(self.picture.on_machine, self.picture.machines)
+        self._surveyed_at = timedelta(days=-1)
         self._tell_new_members()
 
     def machine(self, name: str) -> Machine:
@@ -137,7 +143,7 @@
         except msgspec.DecodeError as error:
             node.refuse(asked.number, 400, str(error))
             return
-        if not self.membership.entitled():
+        if not self.consent.answers():
             node.refuse(asked.number, 503, "not entitled to act", 1)
             return
         known = self.picture.machines.get(report.machine)
@@ -591,12 +597,12 @@
         if not self.membership.entitled() or node.now - self._looked_at < LOOK_EVERY:
             return
         self._looked_at = node.now
-        for name in {*self.picture.on_machine, *self.picture.machines}:
-            owner = self.membership.owner(name) or ""
-            # Known from here on, not from the next epoch on: else that would count as a change of owner.
-            self._owners.setdefault(name, (owner, node.now))
-            if owner == node.name:
-                self._watch_over(self.machine(name))
+        if node.now - self._surveyed_at >= SURVEY_EVERY:
+            self._surveyed_at = node.now
+            self._survey()
+        for name, machine in self.machines.items():
+            if name in self.picture.machines or name in self.picture.on_machine:
+                self._watch_over(machine)
         for name in [name for name in self.machines if name not in self.picture.machines]:
             machine = self.machines[name]
             if name not in self.picture.on_machine and (
@@ -604,6 +610,15 @@
             ):
                 del self.machines[name]
 
+    def _survey(self) -> None:
+        """Find the machines that are ours, of all that are known: who is silent from the start is watched over too."""
+        for name in {*self.picture.on_machine, *self.picture.machines}:
+            owner = self.membership.owner(name) or ""
+            # Known from here on, not from the next epoch on: else that would count as a change of owner.
+            self._owners.setdefault(name, (owner, self.node.now))
+            if owner == self.node.name:
+                self.machine(name)
+
     def gone_at(self, machine: Machine) -> timedelta:
         """When a silent machine's lease has surely ended, whoever answered it last."""
         last = machine.owner_since + self.node.ttl * SLACK
--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -37,7 +37,7 @@
 MAIL_EVERY = timedelta(seconds=1)
 #: How often homes are told of ends, when they are told again, and after how long an owner whom the home does not answer
 #: writes them into its mail.
-TELL_EVERY = timedelta(milliseconds=150)
+TELL_EVERY = timedelta(milliseconds=250)
 TELL_AGAIN = timedelta(seconds=2)
 TELL_IN_VAIN = timedelta(milliseconds=1500)
 
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership.py
@@ -35,6 +35,7 @@
 #: An epoch in which only machines move comes at the earliest so long after the one before: one for many machines.
 MOVES_APART = timedelta(seconds=1.5)
 STUCK = timedelta(seconds=2.5)
+WATCH_APART = timedelta(milliseconds=100)
 
 
 @lru_cache(maxsize=8192)
@@ -70,7 +71,10 @@
         #: Whether the present epoch follows the one known before it, with this incarnation in both.
         self.continuous = False
         self._epoch_incarnation: int | None = None
-        self._entitled_until = timedelta(days=-1)
+        #: Until when this controller may act, and when the renewal was sent on which that rests.
+        self.entitled_until = timedelta(days=-1)
+        self.renewed_at = timedelta(days=-1)
+        self._newest = -1
         self._entitled_since: timedelta | None = None
         self._credits: list[tuple[timedelta, int]] = []
         self._last_renewal = timedelta(days=-1)
@@ -118,12 +122,17 @@
     def _may_act(self) -> bool:
         # The epoch may be known (by a direct read) before the changes that precede it: acting on that mix could
         # start an attempt again whose end a former owner has committed. So the watch must have reached the epoch.
-        return (
-            self.node.loaded
-            and self.member()
-            and self.node.now < self._entitled_until
-            and self.picture.revision >= self.picture.epoch_version
-        )
+        return self.caught_up() and self.node.now < self.entitled_until
+
+    def caught_up(self) -> bool:
+        """In the epoch, and with a picture that has reached it."""
+        return self.node.loaded and self.member() and self.picture.revision >= self.picture.epoch_version
+
+    def newest_epoch(self) -> int:
+        """The number of the newest epoch ever known here; listing all records anew forgets none."""
+        if self.picture.epoch is not None:
+            self._newest = max(self._newest, self.picture.epoch.number)
+        return self._newest
 
     def leads(self) -> bool:
         return self.entitled() and self.picture.epoch is not None and self.picture.epoch.leader == self.node.name
@@ -212,8 +221,9 @@
             return
         if not self._watch_open and node.now >= self._watch_next:
             self._watch_open = True
-            # At most a fifth of this controller's requests go into watches.
-            self._watch_next = node.now + timedelta(seconds=5 / max(1.0, node.requests.rate))
+            # At most a fifth of this controller's requests go into watches; and where there are many, what a tenth of a
+            # second brings comes together: each answer wakes the process, which costs more than what is in it.
+            self._watch_next = node.now + max(WATCH_APART, timedelta(seconds=5 / max(1.0, node.requests.rate)))
             node.requests.take(node.now)
             node.effect(Watch(self.picture.revision))
         if self.lease is None:
@@ -290,7 +300,7 @@
             self._page_after = None
             self._known_epoch = -1
             self._credits.clear()
-            self._entitled_until = timedelta(days=-1)
+            self.entitled_until = timedelta(days=-1)
         elif event.reply is not None:
             for entry in event.reply.events:
                 if entry.put is not None:
@@ -382,7 +392,7 @@
             elif status == 404 and lease == self.lease:
                 log.error("the member lease has ended: joining anew")
                 self.lease = self.incarnation = None
-                self._entitled_until = timedelta(days=-1)
+                self.entitled_until = timedelta(days=-1)
                 self._credits.clear()
             else:
                 self._last_renewal = node.now - node.ttl / 5 + RETRY
@@ -405,7 +415,8 @@
         waiting = []
         for sent, ledger in self._credits:
             if ledger <= self.picture.revision:
-                self._entitled_until = max(self._entitled_until, sent + self.node.ttl / SLACK)
+                self.renewed_at = max(self.renewed_at, sent)
+                self.entitled_until = max(self.entitled_until, sent + self.node.ttl / SLACK)
             else:
                 waiting.append((sent, ledger))
         self._credits = waiting[-20:]
@@ -419,6 +430,7 @@
             return
         mine = None if epoch is None else epoch.members.get(self.node.name)
         # Changed more than once before anybody looked (the flag is still up), epochs are as good as missed.
+        self.newest_epoch()
         self.continuous = not self.changed and number == self._known_epoch + 1 and mine == self._epoch_incarnation
         self._epoch_incarnation = mine
         self._known_epoch = number
--- a/src/gladecroft/coordination/messages.py
+++ b/src/gladecroft/coordination/messages.py
@@ -23,6 +23,8 @@
     HEARD = "heard"
     #: A sibling asks which of some machines report here.
     HEARS = "hears"
+    #: A sibling asks for consent to go on without the state service.
+    CONSENT = "consent"
 
 
 class Asked(msgspec.Struct):
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -196,6 +196,10 @@
                 self.state_bad_since = self.now
         then(status, body)
 
+    def unserved(self) -> bool:
+        """Whether the state service's last answer was none, or that it does not serve this controller."""
+        return self.state_bad_since is not None
+
     def state_down(self) -> bool:
         """The state service has not served this controller for a while."""
         if self.state_ok_at is None:
--- a/src/gladecroft/protocol/peers.py
+++ b/src/gladecroft/protocol/peers.py
@@ -7,6 +7,7 @@
 ENDED_PATH = "/ended"
 HEARD_PATH = "/heard"
 HEARS_PATH = "/hears"
+CONSENT_PATH = "/consent"
 #: How many ends go into one message at the most; with the longest names it stays under the limit of a body.
 MOST_ENDED = 300
 #: The same for machines; names are at most 200 bytes long.
@@ -48,6 +49,12 @@
     gone: list[str] = []
 
 
+class ConsentWanted(msgspec.Struct, frozen=True):
+    """From a controller that the state service does not serve: may it go on answering its machines under this epoch?"""
+
+    epoch: int
+
+
 class Names(msgspec.Struct, frozen=True):
     """Machines about which their owner is asked, and, in its answer, those of them that it hears."""
 
--- a/src/gladecroft/protocol/settings.py
+++ b/src/gladecroft/protocol/settings.py
@@ -9,7 +9,6 @@
 from typing import Annotated
 
 import msgspec
-from javaproperties import InvalidUEscapeError, loads
 from msgspec import Meta
 
 from gladecroft.protocol.wire import Priority
@@ -184,6 +183,9 @@
     """Read the operators' properties; without a file every setting has its default."""
     if path is None:
         return Operator()
+    # Only when used: it brings half of the standard library's web modules, a sixth of what a start costs.
+    from javaproperties import InvalidUEscapeError, loads
+
     try:
         table = loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
--- a/src/gladecroft/service.py
+++ b/src/gladecroft/service.py
@@ -41,7 +41,12 @@
 CONNECT_LIMIT = timedelta(seconds=1)
 ANSWER_LIMIT = timedelta(seconds=4.5)
 VIEW_PATH = "/view"
-SIBLINGS_ASK = {peers.ENDED_PATH: Verb.ENDED, peers.HEARD_PATH: Verb.HEARD, peers.HEARS_PATH: Verb.HEARS}
+SIBLINGS_ASK = {
+    peers.ENDED_PATH: Verb.ENDED,
+    peers.HEARD_PATH: Verb.HEARD,
+    peers.HEARS_PATH: Verb.HEARS,
+    peers.CONSENT_PATH: Verb.CONSENT,
+}
 BATCH = 256
 
 
@@ -101,7 +106,8 @@
                 except anyio.WouldBlock:
                     break
             now = clock()
-            if now.steady >= due:
+            # Every batch does what a tick does: soon after one, no other is needed.
+            if now.steady >= due - TICK / 2:
                 due = now.steady + TICK
                 self._give_up(now.steady)
             for effect in self.core.step(now, events):
--- /dev/null
+++ b/tests/test_consent.py
@@ -0,0 +1,191 @@
+"""Consent never lets a controller answer machines that another may have taken, whatever fails meanwhile."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+from functools import partial
+
+import pytest
+
+from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Target, Verb
+from gladecroft.coordination.node import SLACK
+from gladecroft.protocol import peers, wire
+from runner import Scenario
+from test_epochs import clock
+from test_fencing import Rig
+from world import seconds
+
+FLEET = """
+set machine.consolidate=false
+team t cpus=64 max=128
+type g16 cpus=16 memory=64
+up g16 count=3
+up g16 zone=b count=3
+at 1 submit wk-1 team=t tasks=12 cpus=4 memory=2 run=40
+at 1 submit wk-2 team=t kind=service tasks=4 cpus=1 spread=yes
+run 12
+"""
+EVERY = timedelta(milliseconds=50)
+
+
+class Watcher:
+    """Notes when each controller, in each life, learns of an epoch, and what the others answer after that."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.world = scenario.world
+        self.learned: dict[tuple[str, int], list[tuple[int, timedelta]]] = {}
+        self.broken: list[str] = []
+        self.answered = 0
+        self._look()
+
+    def _look(self) -> None:
+        cores = [(each, each.core) for each in self.scenario.controllers if each.core is not None]
+        for controller, core in cores:
+            known = self.learned.setdefault((controller.name, controller.life), [(-1, self.world.now)])
+            newest = core.membership.newest_epoch()
+            if newest > known[-1][0]:
+                known.append((newest, self.world.now))
+        for controller, core in cores:
+            epoch = core.membership.epoch
+            if epoch is None:
+                continue
+            last = max((each.answered_at or timedelta() for each in core.keeper.machines.values()), default=timedelta())
+            at = last / controller.drift
+            if self.world.now - at > EVERY:
+                continue
+            self.answered += 1
+            for other, _ in cores:
+                for number, since in self.learned[(other.name, other.life)]:
+                    if number > epoch.number and at - since > core.node.ttl * SLACK + EVERY:
+                        self.broken.append(
+                            f"{controller.name} answers in {epoch.number} at {at}, {other.name} knew {number} {since}"
+                        )
+        self.world.later(EVERY, self._look)
+
+
+def drawn(seed: int) -> Scenario:
+    """A fleet through a minute of outages, refusals, cuts and ends, close together."""
+    rng = random.Random(seed)
+    scenario = Scenario(FLEET, seed).run()
+    names = [controller.name for controller in scenario.controllers]
+    for _ in range(rng.randint(3, 7)):
+        one, span = rng.choice(names), f"for={rng.uniform(1, 25):.1f}"
+        deed = rng.choice((
+            ["outage", span],
+            ["refuse", one, span],
+            ["crash", one, f"for={rng.uniform(0.2, 8):.1f}"],
+            ["crash", "all", f"for={rng.uniform(0.2, 8):.1f}"],
+            ["cut", one, "state", span, f"mode={rng.choice(('hold', 'lose'))}"],
+            ["cut", one, *rng.sample(names, 2), span, f"mode={rng.choice(('hold', 'lose'))}"],
+            ["cut", one, "workers", span],
+            ["cancel", "wk-2"],
+        ))  # fmt: skip
+        at = rng.uniform(12, 50)
+        scenario.world.at(seconds(at), partial(scenario._do, deed))
+    return scenario
+
+
+@pytest.mark.parametrize("first", range(0, 40, 10))
+def test_nobody_answers_a_machine_for_longer_than_a_lease_after_it_may_be_anothers(first: int) -> None:
+    answered = 0
+    for seed in range(first, first + 10):
+        scenario = drawn(seed)
+        watcher = Watcher(scenario)
+        scenario.world.run_until(seconds(100))
+        assert watcher.broken == [], f"seed {seed}"
+        assert scenario.oracle.broken == [], f"seed {seed}"
+        answered += watcher.answered
+    assert answered > 100
+
+
+def unserved(rig: Rig, at: float) -> list[Call]:
+    """The state service refuses whatever was asked; what is then asked of siblings."""
+    node = rig.core.node
+    node.state_bad_since = clock(at).steady
+    effects = rig.core.step(clock(at), [])
+    return [effect for effect in effects if isinstance(effect, Call) and effect.target is Target.PEER]
+
+
+def report_status(rig: Rig, at: float) -> int:
+    effects = rig.core.step(clock(at), [Asked(9, Verb.REPORT, rig.report())])
+    return next(effect.status for effect in effects if isinstance(effect, Reply) and effect.number == 9)
+
+
+def entitled_rig() -> Rig:
+    rig = Rig()
+    rig.put("g/epoch", {"number": 2, "leader": "n0", "members": {"n0": 7, "n1": 8}, "moved": {"m-1": "n0"}})
+    core = rig.core
+    core.step(clock(199), [])
+    core.membership._last_renewal = clock(100_000).steady
+    core.membership.renewed_at = clock(199).steady
+    core.membership.entitled_until = clock(205).steady
+    core.node.picture.revision = rig.revision
+    return rig
+
+
+def test_consent_is_asked_for_only_while_the_state_service_does_not_answer() -> None:
+    rig = entitled_rig()
+    rig.core.node.state_ok_at = clock(199).steady
+    quiet = [call for at in (200, 201, 202) for call in rig.core.step(clock(at), []) if isinstance(call, Call)]
+    assert [call for call in quiet if call.path == peers.CONSENT_PATH] == []
+    assert [call.path for call in unserved(rig, 203)] == [peers.CONSENT_PATH]
+
+
+def test_consent_prolongs_a_right_but_never_revives_one() -> None:
+    for answer_at, then_at, status in ((203.1, 208.0, 200), (205.5, 206.0, 503)):
+        rig = entitled_rig()
+        (call,) = unserved(rig, 203)
+        rig.core.step(clock(answer_at), [Answered(call.number, 200, b"{}")])
+        assert report_status(rig, then_at) == status, (answer_at, then_at)
+    # A lease after the request to which consent was given, the right is over.
+    rig = entitled_rig()
+    (call,) = unserved(rig, 203)
+    rig.core.step(clock(203.1), [Answered(call.number, 200, b"{}")])
+    assert report_status(rig, 203 + rig.core.node.ttl.total_seconds() + 0.1) == 503
+
+
+def test_consent_ends_before_a_cancellation_that_is_not_known_here_is_due() -> None:
+    rig = entitled_rig()
+    workers = rig.core.node.cluster.workers
+    at = 203.0
+    while report_status(rig, at) == 200:
+        for call in unserved(rig, at):
+            rig.core.step(clock(at), [Answered(call.number, 200, b"{}")])
+        at += 0.5
+        assert at < 400
+    # The last answer, then the machine's lease: all within the time since the last good renewal.
+    assert 199 + rig.core.node.ttl.total_seconds() < at < 199 + workers.cancel_s - workers.lease_s
+
+
+def test_a_sibling_consents_only_if_it_is_not_served_and_knows_no_newer_epoch() -> None:
+    for bad, asked_epoch, status in ((True, 2, 200), (True, 1, 409), (False, 2, 409), (True, 3, 200)):
+        rig = entitled_rig()
+        node = rig.core.node
+        node.state_bad_since = clock(199).steady if bad else None
+        body = wire.encode(peers.ConsentWanted(asked_epoch))
+        effects = rig.core.step(clock(200), [Asked(4, Verb.CONSENT, body)])
+        assert [effect.status for effect in effects if isinstance(effect, Reply)] == [status], (bad, asked_epoch)
+    # Reading all records again forgets the picture, not that an epoch was known.
+    rig = entitled_rig()
+    rig.core.node.state_bad_since = clock(199).steady
+    rig.core.node.picture.reset()
+    effects = rig.core.step(clock(200), [Asked(4, Verb.CONSENT, wire.encode(peers.ConsentWanted(1)))])
+    assert [effect.status for effect in effects if isinstance(effect, Reply)] == [409]
+
+
+def test_a_controller_that_all_siblings_say_is_not_alone_stays_healthy() -> None:
+    rig = entitled_rig()
+    core = rig.core
+    core.placers.floor.set_types({"g": wire.MachineType("g", 96, 768, 1, 1, 30, ["a"], 8)})
+    core.node.state_ok_at = clock(199).steady
+    core.node.state_bad_since = clock(200).steady
+    core.node.now = clock(203).steady
+    assert not core.healthy()
+    (call,) = unserved(rig, 203)
+    core.step(clock(203.1), [Answered(call.number, 200, b"{}")])
+    core.node.state_bad_since = clock(200).steady
+    assert core.healthy()
+    core.node.now = clock(203 + core.node.ttl.total_seconds()).steady
+    assert not core.healthy()
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -202,4 +202,4 @@
 
 
 def test_a_job_from_submission_to_done() -> None:
-    anyio.run(play)
+    anyio.run(play, backend_options={"use_uvloop": True})
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -41,7 +41,7 @@
     core.node.picture.apply(rec.EPOCH, epoch(1, "n1"), 10)
     core.node.picture.revision = 10
     core.step(clock(100), [])
-    core.membership._entitled_until = timedelta(seconds=1000)
+    core.membership.entitled_until = timedelta(seconds=1000)
     news = wire.WatchReply(11, [wire.LogEntry(11, rec.EPOCH, None, msgspec.Raw(epoch(2, "n0")))])
     report = {"hearth": "m-1", "endpoint": "a:1", "flavor": "g", "district": "a", "leftovers": False, "shift": 1,
               "tally": 1, "baton": 0, "warningS": None, "portions": []}  # fmt: skip
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -39,7 +39,7 @@
         self.late: list[Any] = []
         self.broken = ""
         self.step([])
-        self.core.membership._entitled_until = clock(10_000).steady
+        self.core.membership.entitled_until = clock(10_000).steady
 
     def put(self, key: str, value: Any) -> None:
         self.revision += 1
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -217,7 +217,7 @@
         core.node.now = clock(at).steady
         core.node.writes.look(core.node.now)
         core.node.writes.level = 0.7 * core.node.writes.burst
-        core.membership._entitled_until = clock(10_000).steady
+        core.membership.entitled_until = clock(10_000).steady
         calls = commits([*core.step(clock(at), [])])
         for call in calls:
             rig.revision += 1
