Ends are noted at once only for teams whose limit really holds their work up

A team counted as bound by its limit as soon as all of its waiting work would not fit under it; in an overload it waits for machines, with thousands of cores left under its limit.

Change: a team is bound once less is left under its limit than its waiting work, a tenth of the limit, or its biggest task.

--- a/src/gladecroft/coordination/ledger.py
+++ b/src/gladecroft/coordination/ledger.py
@@ -33,6 +33,8 @@
 #: many.
 GATHER = timedelta(seconds=4)
 GATHER_MOST = timedelta(seconds=12)
+#: A limit holds work up once less than this part of it is left.
+NEAR_LIMIT = 0.1
 #: What siblings can't be told is written at most this often, many things in one value.
 MAIL_EVERY = timedelta(seconds=1)
 #: How often homes are told of ends, when they are told again, and after how long an owner whom the home does not answer
@@ -395,16 +397,25 @@
             change.drop_chunk(job, index)
 
     def _bound_teams(self) -> set[str]:
-        """Teams whose waiting work may be held up by their limit: what ends of theirs is noted soon."""
+        """Teams whose waiting work is held up by their limit: what ends of theirs is noted soon.
+
+        Not those that have room under their limit for what a round or two may place: in an overload they wait for
+        machines, not for the limit. When all their ends were noted at once these took three of four changes, three
+        tasks to a write, and room stood empty for want of changes to place on it.
+        """
         waiting: dict[str, float] = {}
+        biggest: dict[str, float] = {}
         for job in self.picture.queued.values():
-            waiting[job.spec.team] = waiting.get(job.spec.team, 0.0) + job.queued_count * job.spec.cpus
-        return {
-            team
-            for team, cpus in waiting.items()
-            if self.picture.limits[team].gpus_max
-            or self.picture.used_by_team(team)[0] + cpus > self.picture.limits[team].most_cpus
-        }
+            team = job.spec.team
+            waiting[team] = waiting.get(team, 0.0) + job.queued_count * job.spec.cpus
+            biggest[team] = max(biggest.get(team, 0.0), job.spec.cpus)
+        bound: set[str] = set()
+        for team, cpus in waiting.items():
+            limit = self.picture.limits[team]
+            left = limit.most_cpus - self.picture.used_by_team(team)[0]
+            if limit.gpus_max or left < min(cpus, max(NEAR_LIMIT * limit.most_cpus, biggest[team])):
+                bound.add(team)
+        return bound
 
     def _compose_done(self, change: Change, ends: dict[Group, list[End]]) -> None:
         """Note completed tasks for which nobody waits: their room counts as free already. While writes are short they
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -234,3 +234,21 @@
     assert {"write": "g/f/wk-2", "data": {"done": True, "tasks": 3}} in ops
     assert {"drop": "g/j/wk-2"} in ops
     assert not [op for op in ops if op.get("write") == "g/p/wk-2/0"]
+
+
+def test_ends_are_noted_at_once_only_for_teams_whose_limit_holds_their_work_up() -> None:
+    rig = Rig()
+    core = rig.core
+    limit = core.node.picture.limits["t"].most_cpus
+    rig.revision += 1
+    core.node.picture.apply("g/j/wk-1", None, rig.revision)
+    spec = msgspec.structs.replace(SPEC, id="wk-2", kind=wire.Kind.ARRAY, tasks=100, cpus=limit / 100, gpus=0.0)
+    rig.put("g/j/wk-2", rec.JobRecord(spec, 0))
+    for active, bound in ((50, set()), (89, set()), (91, {"t"}), (100, set())):
+        rows = [TaskRecord(TaskState.ACTIVE, 1, "m-1")] * active + [TaskRecord()] * (100 - active)
+        rig.put("g/p/wk-2/0", rec.ChunkRecord(rows))
+        rig.put("g/j/wk-3", rec.JobRecord(msgspec.structs.replace(spec, id="wk-3", tasks=90), 0))
+        if active == 100:
+            rig.revision += 1
+            core.node.picture.apply("g/j/wk-3", None, rig.revision)  # nothing waits
+        assert core.ledger._bound_teams() == bound, active
