--- a/tests/growth.py
+++ b/tests/growth.py
@@ -1,9 +1,12 @@
 """What a report, a placement, a submission and a poll cost as the fleet grows: counted, so it repeats exactly.
 
     PYTHONPATH=src:tests python tests/growth.py [MACHINES...]
+    PYTHONPATH=src:tests python tests/growth.py restart [SERVICES...]
 
-prints a table (simulated: the same minute in virtual time at each size). Steps are Python calls inside the core; state
-requests and changes are what the stand-in for the state service was asked for. Budgets grow with the fleet.
+The first prints a table (simulated: the same minute in virtual time at each size). Steps are Python calls inside the
+core; state requests and changes are what the stand-in for the state service was asked for. Budgets grow with the fleet.
+
+The second ends all controllers at once and tells what their start costs until every machine has been answered.
 """
 
 from __future__ import annotations
@@ -132,7 +135,77 @@
     return costs
 
 
+RESTART = """
+nodes 3
+set machine.consolidate=false
+state rps=600 write_rps=200 txn_ops=24
+team t cpus=100000 max=100000
+type g16 cpus=16 memory=64 count=0 spot=0
+up g16 count={half}
+up g16 zone=b count={half}
+"""
+
+
+def measure_restart(services: int) -> dict[str, float]:
+    """All controllers end and start again with so many services of four tasks unfinished, and as many jobs over."""
+    scenario = Scenario(RESTART.format(half=-(-services // 5)), 1).run()
+    for number in range(services):
+        words = ["submit", f"wk-{number}", "team=t", "kind=service", "tasks=4", "cpus=1", "spread=yes"]
+        scenario.world.at(seconds(2 + number * 0.05), partial(scenario._do, words))
+    settled = 2 + services * 0.05 + 80  # what went back for being idle at first is rented again
+    scenario.world.run_until(seconds(settled))
+    for number in range(services):
+        scenario.state.revision += 1
+        scenario.state.keys[f"g/f/wk-9{number:06d}"] = ({"done": True, "tasks": 3}, scenario.state.revision, None)
+    starts = len(scenario.oracle.starts)
+    asked: Counter[str] = Counter()
+    serve = scenario.state.serve
+
+    def served(node: str, method: str, path: str, body: bytes, reply: Replier) -> None:
+        asked["pages" if "?prefix=" in path else "other requests"] += 1
+        if path == "/commit":
+            asked["changes"] += len(msgspec.json.decode(body).get("apply") or ())
+
+        def counted(status: int, answer: bytes) -> None:
+            asked["bytes"] += len(answer)
+            reply(status, answer)
+
+        serve(node, method, path, body, counted)
+
+    scenario.state.serve = served  # type: ignore[method-assign]
+    scenario._do(["crash", "all", "for=5"])
+    began = scenario.world.elapsed() + 5
+    scenario.world.run_until(seconds(began))
+    answered: set[str] = set()
+    rows: dict[str, float] = {}
+    machines = set(scenario.cloud.machines)
+    while len(answered) < len(machines):
+        scenario.world.run_until(seconds(scenario.world.elapsed() + 0.05))
+        for controller in scenario.controllers:
+            if controller.core is not None:
+                answered |= {each.id for each in controller.core.keeper.machines.values() if each.answered_at}
+        if answered and "s to the first answer" not in rows:
+            rows["s to the first answer"] = scenario.world.elapsed() - began
+        assert scenario.world.elapsed() < began + 60
+    rows["s to the last"] = scenario.world.elapsed() - began
+    rows |= {what: asked[what] for what in ("pages", "other requests", "changes", "bytes")}
+    rows["tasks begun anew"] = len(scenario.oracle.starts) - starts
+    assert starts == 4 * services
+    assert scenario.oracle.broken == []
+    return rows
+
+
+def main_restart(sizes: list[int]) -> None:
+    tables = [measure_restart(size) for size in sizes]
+    print(f"{'services':24}" + "".join(f"{size:>12}" for size in sizes))
+    for row in tables[0]:
+        print(f"{row:24}" + "".join(f"{table[row]:>12.2f}" for table in tables))
+
+
 def main() -> None:
+    if sys.argv[1:2] == ["restart"]:
+        main_restart([int(word) for word in sys.argv[2:]] or [100, 200, 400])
+        return
     sizes = [int(word) for word in sys.argv[1:]] or [60, 120, 180, 240]
     all_costs = [measure(size) for size in sizes]
     tables = [costs.table() for costs in all_costs]
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from growth import measure
+from growth import measure, measure_restart
 
 
 def test_reports_submissions_and_polls_cost_the_same_and_changes_no_more_in_a_larger_fleet() -> None:
@@ -12,3 +12,14 @@
         assert large[what] <= 1.25 * small[what], what
     # A round looks at all work that waits, so its part for each start grows; by less than half as much as the fleet.
     assert large["other steps / start"] <= 2 * small["other steps / start"]
+
+
+def test_a_start_reads_what_is_unfinished_and_loses_nothing() -> None:
+    small, large = measure_restart(30), measure_restart(60)
+    assert small["tasks begun anew"] == large["tasks begun anew"] == 0
+    # The same requests: a page holds hundreds of records, and jobs that are over are not listed.
+    assert large["pages"] == small["pages"] == 3
+    assert large["other requests"] <= 2 * small["other requests"] <= 100
+    assert large["bytes"] <= 2.2 * small["bytes"]
+    # Nothing is written but who lives, and the teams' claims if something waits.
+    assert large["changes"] <= 12
