--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -139,6 +139,8 @@
         self.gangs: dict[str, Job] = {}
         self.gang_teams: dict[str, int] = {}
         self._guaranteed: tuple[int, set[str]] = (-1, set())
+        #: Teams that have more unfinished work than their guarantee, as of when that was last worked out.
+        self.crowded: set[str] = set()
         #: Attempts that this controller knows to have ended, though the records don't say so yet. They take no room.
         self.ended: dict[TaskKey, int] = {}
         #: Machines that have lost their work and of which no record or owner has said anything since.
@@ -425,6 +427,7 @@
         if self._guaranteed[0] == self.job_changes:
             return self._guaranteed[1]
         inside: set[str] = set()
+        crowded: set[str] = set()
         sums: dict[str, list[float]] = {}
         for job in sorted(self.jobs.values(), key=lambda job: (job.record.accepted_ms, job.id)):
             team = self.limits.get(job.spec.team)
@@ -435,6 +438,9 @@
             total[1] += job.spec.gpus * job.spec.tasks
             if total[0] <= team.cpus + 1e-9 and total[1] <= team.gpus + 1e-9:
                 inside.add(job.id)
+            else:
+                crowded.add(job.spec.team)
+        self.crowded = crowded
         for name in inside ^ self._guaranteed[1]:
             changed = self.jobs.get(name)
             if changed is not None:
--- a/src/gladecroft/cli.py
+++ b/src/gladecroft/cli.py
@@ -66,7 +66,7 @@
     gc.set_threshold(20_000, 20, 20)
     try:
         # asyncio's own loop asks the kernel for news at every turn and takes sockets off its list between reads; in a
-        # large fleet that was a third of all processor time.
+        # large fleet that costs much of the processor time.
         anyio.run(Service(platform, operator).run, backend_options={"use_uvloop": True})
     except KeyboardInterrupt:
         sys.exit(130)
--- a/src/gladecroft/coordination/fleet.py
+++ b/src/gladecroft/coordination/fleet.py
@@ -409,8 +409,9 @@
         # Only bins that can still hold something are looked through, by kind; the list shrinks as they fill.
         smallest = min((job.spec.cpus for job in waiting), default=0.0)
         room = _Room(bins, smallest)
-        for job in self.placers.order(waiting, guaranteed):
-            self._fill(job, room, want, job.rank <= self.placers.line or job.id in guaranteed)
+        pressing = self.placers.pressing(guaranteed)
+        for job in self.placers.order(waiting, pressing):
+            self._fill(job, room, want, job.rank <= self.placers.line or job.id in pressing)
         for wanted, count in want.items():
             for start in range(0, count, RENT_MOST):
                 self._rent(wanted, min(RENT_MOST, count - start))
--- a/src/gladecroft/coordination/placers.py
+++ b/src/gladecroft/coordination/placers.py
@@ -81,18 +81,45 @@
         """
         return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, *self._turn(job), job.id))
 
+    def pressing(self, guaranteed: set[str]) -> set[str]:
+        """The waiting jobs that come first, and may evict, for their team's guarantee.
+
+        A team whose unfinished work all fits into its guarantee need not wait for others at all. One that has more
+        waits for itself: of its jobs those arrays do without the privilege that have missed every aim already. Large
+        ones that were past helping took, and evicted, what would have brought many others home in time.
+        """
+        crowded = self.picture.crowded
+        return {
+            job.id
+            for job in self.picture.queued.values()
+            if job.id in guaranteed and not (job.spec.team in crowded and self._past_helping(job))
+        }
+
+    def _past_helping(self, job: Job) -> bool:
+        """Whether nothing more can be won by an array's end. A late service is as much missed as ever."""
+        if job.spec.kind is not Kind.ARRAY:
+            return False
+        limits = self._limits(job)
+        return bool(limits) and max(limits) <= self._age(job) <= STARVED * max(*limits, PATIENCE)
+
+    def _age(self, job: Job) -> float:
+        return self.node.wall.timestamp() - job.record.accepted_ms / 1000
+
+    def _limits(self, job: Job) -> list[float]:
+        """By what age the job must have started (or, for its end, its tasks must have) to meet each of its aims."""
+        limits = [span - job.spec.estimate_s for span in self._aims(job, "finished")]
+        return limits if self._has_started(job) else limits + self._aims(job, "wait")
+
     def _turn(self, job: Job) -> tuple[int, float]:
         spec = job.spec
-        age = self.node.wall.timestamp() - job.record.accepted_ms / 1000
+        age = self._age(job)
         work = spec.cpus * job.queued_count * max(1.0, spec.estimate_s)
-        limits = [span - spec.estimate_s for span in self._aims(job, "finished")]
+        limits = self._limits(job)
         if self._has_started(job):
             # Its start is behind it; it can wait as long as its end is not in danger.
             most = max(spec.cpus, self.picture.limits[spec.team].most_cpus)
             if all(limit - age - work / most > PATIENCE for limit in limits):
                 return CAN_WAIT, work
-        else:
-            limits += self._aims(job, "wait")
         limits = limits or [PATIENCE]
         if age > STARVED * max(*limits, PATIENCE):
             return 0, work
@@ -258,9 +285,10 @@
         self._no_room.clear()
         self._spare = self.spare_cpus()
         most = MOST_PER_ROUND
-        for job in self.order(waiting, guaranteed):
+        pressing = self.pressing(guaranteed)
+        for job in self.order(waiting, pressing):
             place = self._place_gang if job.spec.kind is Kind.GANG else self._place_job
-            most -= place(change, job, job.id in guaranteed, homes[job.id], most)
+            most -= place(change, job, job.id in pressing, homes[job.id], most)
             # Once the transaction is full there is nothing more to carry out; the next round plans anew.
             if most <= 0 or not change.room(1, 0):
                 break
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,11 +8,13 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.picture import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.ledger import Outcome
 from gladecroft.coordination.messages import Answered, Asked, Call, Target, Verb
 from gladecroft.coordination.placement import HighPlacer, LowSide, Ranking
 from gladecroft.protocol import peers, wire
+from gladecroft.protocol.settings import Objective
 from runner import Scenario
 from test_epochs import clock
 from test_fencing import SPEC, Rig
@@ -252,3 +254,38 @@
             rig.revision += 1
             core.node.picture.apply("g/j/wk-3", None, rig.revision)  # nothing waits
         assert core.ledger._bound_teams() == bound, active
+
+
+def test_a_job_past_helping_has_no_privilege_if_its_team_has_more_than_its_guarantee() -> None:
+    rig = Rig()
+    core = rig.core
+    core.node.cluster.objectives = [Objective("finished", 70.0, 0.8, "c"), Objective("wait", 100.0, 0.9, "c")]
+    guarantee = core.node.picture.limits["t"].cpus
+    spec = msgspec.structs.replace(
+        SPEC, kind=wire.Kind.ARRAY, tasks=4, cpus=guarantee / 8, gpus=0.0, estimate_s=20.0, job_class="c"
+    )
+    rig.revision += 1
+    core.node.picture.apply("g/j/wk-1", None, rig.revision)
+    now = core.node.wall.timestamp()
+
+    def submit(name: str, age: float) -> None:
+        record = rec.JobRecord(msgspec.structs.replace(spec, id=name), int((now - age) * 1000))
+        rig.put(f"g/j/{name}", record)
+
+    def pressing() -> set[str]:
+        return core.placers.pressing(core.node.picture.guaranteed())
+
+    submit("wk-2", 120.0)
+    submit("wk-3", 30.0)
+    # All that the team has fits: it need not wait for others, however late.
+    assert pressing() == {"wk-2", "wk-3"}
+    submit("wk-4", 10.0)
+    assert core.node.picture.guaranteed() == {"wk-2", "wk-3"}
+    assert pressing() == {"wk-3"}
+    # A service that is late is missed as long as it is not up.
+    late = core.node.picture.jobs["wk-2"]
+    service = rec.JobRecord(msgspec.structs.replace(spec, kind=wire.Kind.SERVICE), late.record.accepted_ms)
+    assert core.placers._past_helping(late) and not core.placers._past_helping(Job(service, 1, 10))
+    # Nor is anything left lying for ever.
+    submit("wk-5", 400.0)
+    assert pressing() == {"wk-5"}
