Fleet, keeper, placers and ledger take several rooms each

What to rent, what to give back, whether a machine's work fits elsewhere, what to tell a machine, which teams their limit holds up are pure functions over values now (fleet/plan, fleet/shrink, keeper/commands, ledger/closing); the classes round them keep and send.

--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -117,6 +117,10 @@
     until_s: int = 0
 
 
+#: A machine's type and zone, and whether it is a cheap one (spot).
+MachineSort = tuple[str, str, bool]
+
+
 class MailRecord(msgspec.Struct, gc=False, frozen=True):
     """Ends of attempts, proven under this epoch, and machines that have reported: as ``protocol.peers`` has them."""
 
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -54,7 +54,7 @@
         self.users.tick()
         self.keeper.tick()
         self.fleet.tick()
-        self.ledger.tell()
+        self.ledger.ends.tell()
         self.ledger.flush()
         self.keeper.work()
         self.node.account()
@@ -87,11 +87,11 @@
             else:
                 self.node.refuse(asked.number, 503, "can't take requests now", 1)
         elif asked.verb is Verb.ENDED:
-            self.ledger.told(asked)
+            self.ledger.ends.told(asked)
         elif asked.verb is Verb.HEARD:
             self.keeper.told(asked)
         elif asked.verb is Verb.HEARS:
-            self.keeper.hears(asked)
+            self.keeper.visits.hears(asked)
         elif asked.verb is Verb.CONSENT:
             self.consent.asked(asked)
         elif asked.verb is Verb.VIEW:
--- /dev/null
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -0,0 +1,192 @@
+"""What to rent for the work that waits: a filling of bins, as pure functions over values."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+
+from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.records import MachineSort
+from gladecroft.protocol.wire import JobSpec, MachineType
+
+#: A kind is dear for a job if a core costs that many times as much as on the cheapest kind it allows.
+DEAR = 1.6
+
+
+class Bin:
+    """Room on a machine; without a name on one that is yet to come."""
+
+    __slots__ = ("sort", "cpus", "gpus", "memory", "machine", "high", "taken")
+
+    def __init__(
+        self, sort: MachineSort, cpus: float, gpus: float, memory: float, machine: str = "", high: bool = False
+    ) -> None:
+        self.sort, self.cpus, self.gpus, self.memory = sort, cpus, gpus, memory
+        self.machine = machine
+        #: Whether high-priority work is there.
+        self.high = high
+        self.taken = False
+
+    def holds(self, job: Job) -> int:
+        room = job.spec.tasks
+        for need, free in ((job.spec.cpus, self.cpus), (job.spec.gpus, self.gpus), (job.spec.memory_gb, self.memory)):
+            if need > 0:
+                room = min(room, int((free + 1e-6) / need))
+        return max(0, room)
+
+    def take(self, job: Job, count: int) -> None:
+        self.taken = True
+        self.cpus -= job.spec.cpus * count
+        self.gpus -= job.spec.gpus * count
+        self.memory -= job.spec.memory_gb * count
+
+
+def empty_bin(sort: MachineSort, kind: MachineType) -> Bin:
+    return Bin(sort, kind.cpus, kind.gpus, kind.memory_gb)
+
+
+class Room:
+    """The bins that can still hold something, by sort of machine; the lists shrink as they fill."""
+
+    def __init__(self, bins: list[Bin], smallest: float) -> None:
+        self.smallest = smallest
+        self.sorts: dict[MachineSort, list[Bin]] = {}
+        for bin in bins:
+            self.add(bin)
+
+    def add(self, bin: Bin) -> None:
+        if bin.cpus + 1e-6 >= self.smallest:
+            self.sorts.setdefault(bin.sort, []).append(bin)
+
+    def trim(self, sort: MachineSort) -> None:
+        self.sorts[sort] = [bin for bin in self.sorts[sort] if bin.cpus + 1e-6 >= self.smallest]
+
+
+def core_price(kind: MachineType, spot: bool, spec: JobSpec) -> float:
+    """The price of a core that such tasks can use: what stays empty beside them on the machine is paid for too."""
+    count = min(
+        (
+            int((there + 1e-6) / need)
+            for need, there in (
+                (spec.cpus, kind.cpus), (spec.gpus, kind.gpus), (spec.memory_gb, kind.memory_gb)
+            )
+            if need > 0
+        ),
+        default=0,
+    )  # fmt: skip
+    usable = count * spec.cpus if count and spec.cpus > 0 else kind.cpus
+    return (kind.spot_price if spot else kind.price) / max(usable, 1e-9)
+
+
+@dataclass
+class Terms:
+    """What a plan goes by."""
+
+    types: Mapping[str, MachineType]
+    allowed: Callable[[JobSpec, str, str, bool], bool]
+    #: The tasks of a job in each zone, and how many may be in one.
+    zone_room: Callable[[Job], tuple[dict[str, int], int]]
+    #: How many of a job's waiting tasks its team's limit lets run.
+    limit_room: Callable[[Job], int]
+    #: Sorts that are not asked for now, and how many of others at the most.
+    closed: Collection[MachineSort] = ()
+    at_most: Mapping[MachineSort, int] = field(default_factory=dict)
+
+
+@dataclass
+class Plan:
+    """One filling. ``dear_cpus``: cores that may be rented dear; ``spare``: cores that work outside a guarantee may
+    take on machines with high-priority work; ``in_zone``: machines there, or to be there."""
+
+    terms: Terms
+    room: Room
+    dear_cpus: float
+    spare: float
+    in_zone: dict[str, int]
+    want: dict[MachineSort, int] = field(default_factory=dict)
+
+    def fill(self, job: Job, everywhere: bool) -> None:
+        """Put a job's waiting tasks into bins, opening new ones by the cheapest kinds. ``everywhere``: work of high
+        priority or within a guarantee, from which no reserve is kept."""
+        spec = job.spec
+        left = min(job.queued_count, self.terms.limit_room(job))
+        zones, cap = self.terms.zone_room(job) if spec.spread or spec.one_zone else ({}, spec.tasks)
+        only: str | None = next(iter(zones)) if spec.one_zone and zones else None
+        if left <= 0:
+            return
+        left = self._fill_open(job, left, zones, cap, only, everywhere)
+        while left > 0:
+            sort = self._cheapest(job, zones, cap, only)
+            if sort is None:
+                return
+            bin = empty_bin(sort, self.terms.types[sort[0]])
+            count = min(left, bin.holds(job), cap - zones.get(sort[1], 0))
+            if count <= 0:
+                return
+            bin.take(job, count)
+            self.room.add(bin)
+            self.in_zone[sort[1]] = self.in_zone.get(sort[1], 0) + 1
+            self.want[sort] = self.want.get(sort, 0) + 1
+            zones[sort[1]] = zones.get(sort[1], 0) + count
+            left -= count
+
+    def _fill_open(
+        self, job: Job, left: int, zones: dict[str, int], cap: int, only: str | None, everywhere: bool
+    ) -> int:
+        """Fill what is up or coming; how many tasks are left then."""
+        spec = job.spec
+        for sort, bins in self.room.sorts.items():
+            if only is not None and sort[1] != only:
+                continue
+            if not self.terms.allowed(spec, *sort):
+                continue
+            used_up = False
+            for bin in bins:
+                count = min(left, bin.holds(job), cap - zones.get(sort[1], 0))
+                if bin.high and not everywhere and spec.cpus > 0:
+                    # The placers keep a reserve there, so it is no room for this job here either.
+                    count = min(count, int(max(0.0, self.spare) / spec.cpus))
+                    self.spare -= max(0, count) * spec.cpus
+                if count > 0:
+                    bin.take(job, count)
+                    used_up |= bin.cpus + 1e-6 < self.room.smallest
+                    zones[sort[1]] = zones.get(sort[1], 0) + count
+                    left -= count
+                    if left <= 0:
+                        break
+            if used_up:
+                self.room.trim(sort)
+            if left <= 0:
+                break
+        return left
+
+    def _cheapest(self, job: Job, zones: dict[str, int], cap: int, only: str | None) -> MachineSort | None:
+        spec, terms = job.spec, self.terms
+        sorts = [
+            (kind, zone, spot)
+            for kind in terms.types.values()
+            for zone in kind.zones
+            for spot in (True, False)
+            if terms.allowed(spec, kind.name, zone, spot)
+        ]
+        cheapest = min((core_price(kind, spot, spec) for kind, _, spot in sorts), default=0.0)
+        options: list[tuple[float, MachineType, str, bool]] = []
+        for kind, zone, spot in sorts:
+            sort = (kind.name, zone, spot)
+            if zones.get(zone, 0) >= cap or (only is not None and zone != only) or sort in terms.closed:
+                continue
+            at_most = terms.at_most.get(sort)
+            if at_most is not None and self.want.get(sort, 0) >= at_most:
+                continue
+            price = core_price(kind, spot, spec)
+            if price > DEAR * cheapest and self.dear_cpus <= 0:
+                continue
+            options.append((price, kind, zone, spot))
+        if not options:
+            return None
+        price, machine, zone, spot = min(
+            options, key=lambda option: (round(option[0], 4), self.in_zone.get(option[2], 0), option[2])
+        )
+        if price > DEAR * cheapest:
+            self.dear_cpus -= machine.cpus
+        return machine.name, zone, spot
--- /dev/null
+++ b/src/gladecroft/coordination/keeper/keeper.py
@@ -0,0 +1,327 @@
+"""The owner's work for each of its machines: answer reports, give commands, tell what is gone.
+
+What the records place on a machine is *wanted*, what its newest report lists is *present*; the commands are the
+difference. Absence proves something only in a *trusted* report: no direct command is unanswered, and the report
+carries the fencing token, so that nothing sent earlier can still be executed.
+"""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+import msgspec
+
+from gladecroft.bookkeeping.records import MachineRecord, MachineUse
+from gladecroft.coordination.consent import Consent
+from gladecroft.coordination.keeper.commands import difference, mark, worth_a_call
+from gladecroft.coordination.keeper.heralds import Heralds
+from gladecroft.coordination.keeper.judge import Judge
+from gladecroft.coordination.keeper.machine import Machine, task_key
+from gladecroft.coordination.keeper.visits import MARGIN, Visits
+from gladecroft.coordination.ledger import LOST, Ledger, Outcome
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.messages import Asked
+from gladecroft.coordination.node import SLACK, Node
+from gladecroft.protocol import peers, wire
+from gladecroft.protocol.wire import Command, Commands, Report
+
+log = logging.getLogger(__name__)
+
+LOOK_EVERY = timedelta(milliseconds=400)
+#: How often all known machines are gone through for new ones of ours that have not reported.
+SURVEY_EVERY = timedelta(seconds=1.2)
+
+
+class Keeper:
+    def __init__(self, node: Node, membership: Membership, ledger: Ledger, consent: Consent) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.ledger = ledger
+        self.consent = consent
+        self.machines: dict[str, Machine] = {}
+        self.judge = Judge(node, ledger)
+        self.heralds = Heralds(node, membership, ledger)
+        self.visits = Visits(node, membership, self.machines, self.reported)
+        self._looked_at = timedelta(days=-1)
+        self._surveyed_at = timedelta(days=-1)
+
+    # Ownership -----------------------------------------------------------------------------------------------
+
+    def epoch_changed(self, continuous: bool) -> None:
+        """Forget what is no longer ours; what stays ours keeps its fence.
+
+        If epochs were missed, or this controller was out meanwhile, another may have owned any of the machines and
+        have answered it: then nothing known of them counts any more.
+        """
+        if not continuous:
+            self.machines.clear()
+        for name in list(self.machines):
+            if not self.membership.member() or self.membership.owner(name) != self.node.name:
+                del self.machines[name]
+        self.visits.epoch_changed()
+        self.picture.touched.update(self.picture.on_machine, self.picture.machines)
+        self._surveyed_at = timedelta(days=-1)
+        self.heralds.tell_new_members()
+
+    def machine(self, name: str) -> Machine:
+        machine = self.machines.get(name)
+        if machine is None:
+            base = self.membership.base_token()
+            machine = self.machines[name] = Machine(name, self.membership.epoch_seen_at, base, base)
+        return machine
+
+    def token(self, machine: Machine) -> int:
+        machine.token = max(machine.token, self.membership.base_token())
+        return machine.token
+
+    # Reports -------------------------------------------------------------------------------------------------
+
+    def reported(self, asked: Asked) -> None:
+        node = self.node
+        try:
+            report: Report = wire.decode(Report, asked.body)
+        except msgspec.DecodeError as error:
+            node.refuse(asked.number, 400, str(error))
+            return
+        if not self.consent.answers():
+            node.refuse(asked.number, 503, "not entitled to act", 1)
+            return
+        known = self.picture.machines.get(report.machine)
+        if self.picture.buried(report.machine) or known is not None and known.use is MachineUse.GONE:
+            # The report was on its way when the machine was returned. Taken as news it would draw work to nowhere.
+            node.refuse(asked.number, 503, "this machine was returned", 1)
+            return
+        owner = self.membership.owner(report.machine, report.zone)
+        if owner != node.name:
+            self.visits.visited(asked, report.machine, owner)
+            return
+        machine = self.machine(report.machine)
+        if report.token > self.token(machine):
+            # The machine has seen a newer epoch than this controller has.
+            node.refuse(asked.number, 503, "a newer epoch is about", 1)
+            return
+        if not self._take(machine, report):
+            node.refuse(asked.number, 503, "a newer report is known", 1)
+            return
+        machine.answered_at = node.now
+        commands = self._commands(machine)
+        node.reply(asked.number, 200, wire.encode(Commands(self.token(machine), commands)))
+        self.picture.touched.discard(machine.id)
+
+    def _take(self, machine: Machine, report: Report) -> bool:
+        """Take in a report if it is the newest."""
+        old = machine.report
+        if old is not None and (report.session, report.seq) <= (old.session, old.seq):
+            return False
+        if old is None or machine.lost:
+            self.heralds.first(machine, report)
+        if old is None or report.session != old.session:
+            machine.sent = {}
+            if old is not None:
+                log.info("%s is in session %d", machine.id, report.session)
+        if old is None or machine.suspect:
+            self.picture.stale.add(machine.id)
+        machine.report = report
+        machine.heard_at = self.node.now
+        machine.lost = machine.suspect = False
+        machine.present, machine.beside = {}, {}
+        wanted = self.picture.on_machine.get(machine.id, {})
+        for task in report.tasks:
+            key = task_key(task.task)
+            if key is None:
+                continue
+            known = machine.present.get(key)
+            if known is not None:
+                record = wanted.get(key)
+                if record is not None and known.attempt == record.attempt:
+                    task, known = known, task
+                machine.beside.setdefault(key, []).append(known)
+            machine.present[key] = task
+        self.judge.judge(machine)
+        self._note_machine(machine, report)
+        return True
+
+    def told(self, asked: Asked) -> None:
+        """A sibling tells of machines that have reported to it. No proof of anything: what is placed on them is, as
+        everywhere, only what is committed."""
+        try:
+            message: peers.Heard = wire.decode(peers.Heard, asked.body)
+        except msgspec.DecodeError as error:
+            self.node.refuse(asked.number, 400, str(error))
+            return
+        if not self.node.loaded:
+            self.node.refuse(asked.number, 503, "starting", 1)
+            return
+        for name in message.gone:
+            self.picture.forget_machine(name)
+            self.machines.pop(name, None)
+        for heard in message.machines:
+            self.picture.hear(heard.name, MachineRecord(heard.type, heard.zone, heard.spot, heard.addr))
+        self.node.reply(asked.number, 200, b"{}")
+
+    def _note_machine(self, machine: Machine, report: Report) -> None:
+        known = self.ledger.machine(machine.id)
+        use = MachineUse.UP if known is None else known.use
+        if use is MachineUse.GONE:
+            return
+        if use is MachineUse.SILENT:
+            use = MachineUse.UP
+        until = 0 if known is None else known.until_s
+        if report.notice_s is not None:
+            until = until or int(self.node.wall.timestamp() + report.notice_s)
+            if use is not MachineUse.BAD:
+                use = MachineUse.LEAVING
+        record = MachineRecord(report.type, report.zone, report.spot, report.addr, use, until)
+        self.ledger.put_machine(machine.id, record)
+
+    # Commands ------------------------------------------------------------------------------------------------
+
+    def _commands(self, machine: Machine) -> list[Command]:
+        """What the machine is to be told, noted as sent; and what is proven by what is not there."""
+        wanted = self.picture.on_machine.get(machine.id, {})
+        exits = self.ledger.exits
+        commands, absent = difference(machine, wanted, self.picture.jobs, lambda key, attempt: (*key, attempt) in exits)
+        for key in absent:
+            self.ledger.exit(*key, wanted[key].attempt, Outcome(False, wanted[key].note or "stopped"))
+        if len(machine.sent) > 2 * len(commands) + 200:
+            machine.sent.clear()
+        for command in commands:
+            machine.sent[mark(command)] = self.node.now
+        return commands
+
+    def work(self) -> None:
+        """Send commands straight to machines whose wanted tasks changed; look after the silent ones."""
+        self.visits.answer()
+        self.visits.ask_owners()
+        self.heralds.tell()
+        if not self.membership.entitled():
+            return
+        touched, self.picture.touched = self.picture.touched, set()
+        for name in touched:
+            if self.membership.owner(name) == self.node.name:
+                if name in self.picture.on_machine or name in self.picture.machines:
+                    machine = self.machine(name)
+                    if machine.report is not None:
+                        self.judge.judge(machine)
+                    self._direct(machine)
+                elif name in self.machines:
+                    self._direct(self.machines[name])
+
+    def _direct(self, machine: Machine) -> None:
+        node = self.node
+        report = machine.report
+        if report is None or machine.direct or machine.lost or machine.answered_at is None:
+            return
+        if machine.heard_at is None or node.now - machine.heard_at > 2 * node.report:
+            return
+        before = dict(machine.sent)
+        commands = self._commands(machine)
+        fresh = worth_a_call(commands, before, node.now)
+        machine.sent = {**machine.sent, **before}
+        if not fresh:
+            return
+        for command in fresh:
+            machine.sent[mark(command)] = node.now
+        token = self.token(machine)
+        sent_at = node.now
+        machine.direct = True
+
+        def then(status: int, body: bytes) -> None:
+            if self.machines.get(machine.id) is not machine:
+                return
+            machine.direct = False
+            if status in (200, 409):
+                try:
+                    answer: Report = wire.decode(Report, body)
+                except msgspec.DecodeError as error:
+                    log.error("%s answered a command with what is no report: %s", machine.id, error)
+                else:
+                    self._take(machine, answer)  # renews no lease: answered_at stays
+                    self.picture.touched.add(machine.id)
+                    return
+            if machine.heard_at is not None and machine.heard_at <= sent_at and node.now - sent_at > node.report / 2:
+                # Neither an answer nor a report since: nothing more is placed there until it is heard again.
+                machine.suspect = True
+                self.picture.stale.add(machine.id)
+            if status != -1:
+                # It may still be on its way: from here on only reports with a higher token prove anything.
+                machine.token = max(machine.token, token + 1)
+                machine.fence = machine.token
+                log.info("%s did not answer a direct command: fencing with token %d", machine.id, machine.token)
+
+        body = wire.encode(Commands(token, fresh, report.session))
+        node.worker(report.addr, wire.COMMANDS_PATH, body, then)
+
+    # Silence -------------------------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        node = self.node
+        if not self.membership.entitled() or node.now - self._looked_at < LOOK_EVERY:
+            return
+        self._looked_at = node.now
+        if node.now - self._surveyed_at >= SURVEY_EVERY:
+            self._surveyed_at = node.now
+            self._survey()
+        for name, machine in self.machines.items():
+            if name in self.picture.machines or name in self.picture.on_machine:
+                self._watch_over(machine)
+        for name in [name for name in self.machines if name not in self.picture.machines]:
+            machine = self.machines[name]
+            if name not in self.picture.on_machine and (
+                machine.heard_at is None or node.now - machine.heard_at > timedelta(seconds=60)
+            ):
+                del self.machines[name]
+
+    def _survey(self) -> None:
+        """Find the machines that are ours, of all that are known: who is silent from the start is watched over too."""
+        for name in {*self.picture.on_machine, *self.picture.machines}:
+            owner = self.membership.owner(name) or ""
+            # Known from here on, not from the next epoch on: else that would count as a change of owner.
+            self.visits.owners.setdefault(name, (owner, self.node.now))
+            if owner == self.node.name:
+                self.machine(name)
+
+    def gone_at(self, machine: Machine) -> timedelta:
+        """When a silent machine's lease has surely ended, whoever answered it last."""
+        last = machine.owner_since + self.node.ttl * SLACK
+        if machine.answered_at is not None:
+            last = max(last, machine.answered_at)
+        return last + self.node.lease * SLACK + MARGIN
+
+    def _watch_over(self, machine: Machine) -> None:
+        node = self.node
+        heard = max(machine.heard_at or machine.owner_since, machine.owner_since)
+        if node.now - heard > 2.5 * node.report + 2 * MARGIN:
+            self._silent(machine)
+        if node.now < self.gone_at(machine):
+            return
+        wanted = self.picture.on_machine.get(machine.id)
+        if wanted:
+            machine.lost = True
+            for key, task in wanted.items():
+                self.ledger.exit(*key, task.attempt, Outcome(False, f"{LOST}{machine.id}"))
+
+    def _silent(self, machine: Machine) -> None:
+        known = self.ledger.machine(machine.id)
+        if known is not None and known.use is MachineUse.UP:
+            log.info("%s is silent", machine.id)
+            self.ledger.put_machine(machine.id, msgspec.structs.replace(known, use=MachineUse.SILENT))
+
+    def returned(self, name: str) -> None:
+        """The cloud has answered that the machine is gone, with everything on it."""
+        self.ledger.ends.gone[name] = None
+        while len(self.ledger.ends.gone) > 1000:
+            del self.ledger.ends.gone[next(iter(self.ledger.ends.gone))]
+        for key, task in self.picture.on_machine.get(name, {}).items():
+            self.ledger.exit(*key, task.attempt, Outcome(False, f"returned {name}"))
+        known = self.ledger.machine(name)
+        if name in self.picture.heard and name not in self.picture.on_machine:
+            self.picture.forget_machine(name)
+            known = None
+        # One that was to be returned stays so: nothing is placed on it, whatever late reports say.
+        if known is not None and known.use is not MachineUse.RETURNING:
+            self.ledger.put_machine(name, msgspec.structs.replace(known, use=MachineUse.GONE))
+        self.machines.pop(name, None)
+        self.picture.stale.add(name)
--- /dev/null
+++ b/src/gladecroft/coordination/ledger/ends.py
@@ -0,0 +1,209 @@
+"""The attempts that are proven gone, from the proof until the records say so, and how homes learn of them."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.messages import Asked
+from gladecroft.coordination.node import Node
+from gladecroft.protocol import peers, wire
+
+#: What siblings can't be told is written at most this often, many things in one value.
+MAIL_EVERY = timedelta(seconds=1)
+#: How often homes are told of ends, when they are told again, and after how long an owner whom the home does not answer
+#: writes them into its mail.
+TELL_EVERY = timedelta(milliseconds=250)
+TELL_AGAIN = timedelta(seconds=2)
+TELL_IN_VAIN = timedelta(milliseconds=1500)
+#: Begins the note of what was lost with its machine, whose name follows.
+LOST = "lost "
+
+#: A job's name, the task's number, the attempt.
+AttemptKey = tuple[str, int, int]
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """How an attempt ended. ``failed``: it counts against the task."""
+
+    done: bool
+    note: str = ""
+    failed: bool = False
+
+
+class Ends:
+    def __init__(self, node: Node, membership: Membership) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.exits: dict[AttemptKey, Outcome] = {}
+        self.since: dict[AttemptKey, timedelta] = {}
+        #: Machines that the cloud has taken back by this controller's request: their attempts are gone for good.
+        self.gone: dict[str, None] = {}
+        #: Machines of which some sibling could long not be told.
+        self.untold_machines: dict[str, None] = {}
+        #: When the home of an attempt's job was last told of its end, and which ends it has taken in.
+        self._told: dict[AttemptKey, timedelta] = {}
+        self._with_home: set[AttemptKey] = set()
+        self._told_at = timedelta(days=-1)
+        self._mail_read: dict[str, tuple[int, int]] = {}
+        self._mailed_at = timedelta(days=-1)
+
+    def exit(self, job: str, number: int, attempt: int, outcome: Outcome) -> None:
+        """Note that an attempt is proven gone."""
+        key = (job, number, attempt)
+        if key not in self.exits:
+            self.exits[key] = outcome
+            self.since[key] = self.node.now
+            self.picture.end((job, number), attempt)
+            if outcome.note.startswith(LOST):
+                # The machine's record may say so only later. Placed there meanwhile, a task would be lost at once.
+                self.picture.doubted.add(outcome.note.removeprefix(LOST))
+
+    def settle(self, key: tuple[str, int, int]) -> None:
+        del self.exits[key]
+        del self.since[key]
+        self.picture.end(key[:2], None)
+        self._told.pop(key, None)
+        self._with_home.discard(key)
+
+    def epoch_changed(self, continuous: bool) -> None:
+        """Drop proofs about machines that are, or were meanwhile, another's: it may have started the attempt again.
+
+        So go those that other owners told of: they hold under the epoch in which they were told.
+        """
+        self._told.clear()
+        self._with_home.clear()
+        for name, number, attempt in list(self.exits):
+            job = self.picture.jobs.get(name)
+            machine = "" if job is None else job.task(number).machine
+            ours = continuous and self.membership.owner(machine) == self.node.name
+            if machine not in self.gone and not ours:
+                self.settle((name, number, attempt))
+
+    def tell(self) -> None:
+        """Tell the homes of other jobs which of their attempts are proven gone here.
+
+        A home alone writes its teams' records. When each owner wrote the ends on its own machines, most commits of a
+        large fleet failed because another controller had just changed the same team or job.
+        """
+        node, epoch = self.node, self.picture.epoch
+        if node.now - self._told_at < TELL_EVERY or epoch is None or not self.membership.entitled():
+            return
+        self._told_at = node.now
+        self._read_mail(epoch.number)
+        batches: dict[str, list[peers.EndedAttempt]] = {}
+        for key, outcome in self.exits.items():
+            job = self.picture.jobs.get(key[0])
+            home = None if job is None else self.membership.job_home(job.spec)
+            last = self._told.get(key)
+            if home is None or home == node.name or last is not None and node.now - last < TELL_AGAIN:
+                continue
+            batch = batches.setdefault(home, [])
+            if len(batch) < peers.MOST_ENDED:
+                batch.append(peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed))
+                self._told[key] = node.now
+        for home, batch in batches.items():
+            self._tell(home, epoch.number, batch)
+
+    def _tell(self, home: str, epoch: int, batch: list[peers.EndedAttempt]) -> None:
+        keys = [(ended.job, ended.number, ended.attempt) for ended in batch]
+
+        def then(status: int, body: bytes) -> None:
+            now_epoch = self.picture.epoch
+            if now_epoch is None or now_epoch.number != epoch:
+                return
+            if status == 200:
+                self._with_home.update(key for key in keys if key in self.exits)
+            else:
+                self._with_home.difference_update(keys)
+
+        self.node.peer(home, peers.ENDED_PATH, wire.encode(peers.Ended(epoch, batch)), then)
+
+    def told(self, asked: Asked) -> None:
+        """A sibling tells of ends on its machines. What it proves holds as long as nobody else has come to own them:
+        so it counts under the epoch named, and the commit that rests on it is conditional on that epoch."""
+        try:
+            message: peers.Ended = wire.decode(peers.Ended, asked.body)
+        except msgspec.DecodeError as error:
+            self.node.refuse(asked.number, 400, str(error))
+            return
+        epoch = self.picture.epoch
+        if epoch is None or epoch.number != message.epoch or not self.membership.entitled():
+            self.node.refuse(asked.number, 503, "another epoch", 1)
+            return
+        self._take_ended(message.attempts)
+        self.node.reply(asked.number, 200, b"{}")
+
+    def _take_ended(self, attempts: list[peers.EndedAttempt]) -> None:
+        for ended in attempts:
+            job = self.picture.jobs.get(ended.job)
+            if job is not None and 0 <= ended.number < job.spec.tasks:
+                outcome = Outcome(ended.done, ended.note, ended.failed)
+                self.exit(ended.job, ended.number, ended.attempt, outcome)
+
+    def _read_mail(self, epoch: int) -> None:
+        """Take in what siblings have written who can't reach everybody. Ends count as if they had been told."""
+        for sibling, mail in self.picture.mail.items():
+            version = self.picture.version(rec.mail_key(sibling))
+            if sibling == self.node.name or self._mail_read.get(sibling) == (version, epoch):
+                continue
+            self._mail_read[sibling] = (version, epoch)
+            if mail.epoch == epoch:
+                self._take_ended(
+                    [
+                        ended
+                        for ended in mail.ended
+                        if ended.job in self.picture.jobs
+                        and self.membership.job_home(self.picture.jobs[ended.job].spec) == self.node.name
+                    ]
+                )
+            for heard in mail.heard:
+                self.picture.hear(heard.name, rec.MachineRecord(heard.type, heard.zone, heard.spot, heard.addr))
+
+    def compose_mail(self, change: Change, puts: dict[str, rec.MachineRecord | None]) -> None:
+        """Write what siblings have long not been told, as much as fits a value."""
+        node, epoch = self.node, self.picture.epoch
+        if epoch is None or node.now - self._mailed_at < MAIL_EVERY or not change.room(1, 0):
+            return
+        size = 100
+        ended: list[peers.EndedAttempt] = []
+        heard: list[peers.HeardMachine] = []
+        for key, outcome in self.exits.items():
+            if key in self._with_home or node.now - self.since[key] < TELL_IN_VAIN:
+                continue
+            job = self.picture.jobs.get(key[0])
+            if job is None or not self.left_to_home(key, job):
+                continue
+            each = peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed)
+            size += len(msgspec.json.encode(each)) + 1
+            if size > self.picture.value_bytes:
+                break
+            ended.append(each)
+        for name in self.untold_machines:
+            record = self.picture.heard.get(name)
+            if record is not None:
+                known = peers.HeardMachine(name, record.type, record.zone, record.spot, record.addr)
+                size += len(msgspec.json.encode(known)) + 1
+                if size > self.picture.value_bytes:
+                    # No room in the mail: a record of its own tells of it.
+                    puts.setdefault(name, record)
+                else:
+                    heard.append(known)
+        before = self.picture.mail.get(node.name)
+        if before is not None and (before.epoch == epoch.number or not ended):
+            if set(ended) <= set(before.ended) and set(heard) <= set(before.heard):
+                return
+        elif not ended and not heard:
+            return
+        change.put(rec.mail_key(node.name), rec.MailRecord(epoch.number, ended, heard))
+        self._mailed_at = node.now
+
+    def left_to_home(self, key: tuple[str, int, int], job: Job) -> bool:
+        """Whether an end is the home's to note. If the home can't be told it learns of it by mail: when owners wrote
+        such ends themselves, each cost a change, out of the small shares of those who place nothing."""
+        return self.membership.job_home(job.spec) != self.node.name
--- a/src/gladecroft/coordination/floor.py
+++ b/src/gladecroft/coordination/placers/floor.py
@@ -5,17 +5,14 @@
 from collections.abc import Iterator
 
 from gladecroft.bookkeeping.picture import Job
-from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
+from gladecroft.bookkeeping.records import MachineSort, MachineUse, TaskRecord, TaskState
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
-from gladecroft.coordination.placement import Resident, Slot
+from gladecroft.coordination.placers.placement import Resident, Slot
 from gladecroft.protocol.wire import JobSpec, Kind, MachineType
 
-#: A machine's type and zone, and whether it is a cheap one.
-Sort = tuple[str, str, bool]
-
 
 class Floor:
     """Slots of the machines that may be offered: in use and, in our own part, heard in this epoch."""
@@ -29,8 +26,8 @@
         self.line = line
         self.types: dict[str, MachineType] = {}
         self.slots: dict[str, Slot] = {}
-        self.groups: dict[Sort, dict[str, Slot]] = {}
-        self._sorts: dict[str, Sort] = {}
+        self.groups: dict[MachineSort, dict[str, Slot]] = {}
+        self._sorts: dict[str, MachineSort] = {}
         self._images: dict[str, dict[str, None]] = {}
         self._looked = 0
 
@@ -107,6 +104,10 @@
                         job.id in guaranteed, task.placed_s, stopping,
                         job.occupied if spec.kind is Kind.GANG else 1)  # fmt: skip
 
+    def plan_on(self, slot: Slot) -> None:
+        """Note that this round plans on a slot: before the next it is worked out anew."""
+        self.picture.stale.add(slot.machine)
+
     def note_image(self, machine: str, image: str) -> None:
         self._images.setdefault(machine, {})[image] = None
 
--- /dev/null
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -0,0 +1,244 @@
+"""Runs the two placers over the picture and works their choices into transactions."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.coordination.keeper import Keeper
+from gladecroft.coordination.ledger import Ledger
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.placers.choice import Chooser, claim, need_of, one_zone, zone_room
+from gladecroft.coordination.placers.floor import Floor
+from gladecroft.coordination.placers.gangs import Gangs
+from gladecroft.coordination.placers.placement import TINY, HighPlacer, LowSide, Need, Offer, Ranking, Resident, Slot
+from gladecroft.coordination.placers.queue import Queue
+from gladecroft.coordination.placers.stops import Stops
+from gladecroft.coordination.placers.writer import Writer
+from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, Kind, MachineType
+
+log = logging.getLogger(__name__)
+
+MOST_PER_ROUND = 400
+BACK_OFF_MOST = 64.0
+
+
+class Placers:
+    def __init__(self, node: Node, membership: Membership, keeper: Keeper, ledger: Ledger) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.ledger = ledger
+        self.line = PRIORITY_RANK[node.operator.priority_line]
+        self.floor = Floor(node, membership, keeper, ledger, self.line)
+        self.allowed = self.floor.allowed
+        high = HighPlacer(node.operator.offer_top, node.operator.spot_avoiding)
+        self.chooser = Chooser(high, LowSide(), self.line)
+        self.queue = Queue(node)
+        self.stops = Stops(node, membership, self.floor, self.chooser)
+        self.writer = Writer(node, self.floor)
+        self.waits: dict[str, str] = {}
+        self.gangs = Gangs(node, ledger, self.floor, self.chooser, self.stops, self.writer, self.waits)
+        self._retry: dict[tuple[str, int, int], timedelta] = {}
+        #: Needs for which this round has found no room, by what kind of room it looked for.
+        self._no_room: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
+        #: Cores on machines with high-priority work that low-priority work may still take in this round.
+        self._spare = 0.0
+        ledger.composers.append(self.stops.drain)
+        ledger.composers.append(self.stops.mend_gangs)
+        ledger.composers.append(self.place)
+        ledger.composers.append(self.stops.move)
+
+    def fits(self, spec: JobSpec) -> str | None | bool:
+        """None if some machine type takes a task; why not; False if the types are not known yet."""
+        if not self.types:
+            return False
+        for kind in self.types.values():
+            if self.floor.type_allowed(spec, kind) and (spec.zone is None or spec.zone in kind.zones):
+                return None
+        return "a task fits no allowed machine type"
+
+    @property
+    def types(self) -> dict[str, MachineType]:
+        return self.floor.types
+
+    def zone_room(self, job: Job) -> tuple[dict[str, int], int]:
+        """How many of the job's tasks are in each zone, and how many may be."""
+        return zone_room(self.picture, job)
+
+    def place(self, change: Change) -> None:
+        """Place our waiting tasks.
+
+        The plan is made for all waiting work in one order, other homes' too, and only our part of it is carried
+        out: what others are about to take is left to them. Without this two homes took the same room, and room freed
+        by an eviction went to the next borrower, who was evicted again.
+        """
+        me = self.node.name
+        if len(self.waits) > 2 * len(self.picture.queued) + 100:
+            for name in [name for name in self.waits if name not in self.picture.queued]:
+                del self.waits[name]
+        waiting = list(self.picture.queued.values())
+        homes = {job.id: self.membership.job_home(job.spec) or "" for job in waiting}
+        if me not in homes.values():
+            return
+        guaranteed = self.picture.guaranteed()
+        self.floor.refresh(guaranteed)
+        self._no_room.clear()
+        self._spare = self.spare_cpus()
+        most = MOST_PER_ROUND
+        pressing = self.queue.pressing(guaranteed)
+        for job in self.queue.order(waiting, pressing):
+            place = self.gangs.place if job.spec.kind is Kind.GANG else self._place_job
+            most -= place(change, job, job.id in pressing, homes[job.id], most)
+            # Once the transaction is full there is nothing more to carry out; the next round plans anew.
+            if most <= 0 or not change.room(1, 0):
+                break
+
+    def spare_cpus(self) -> float:
+        """What is free on machines with high-priority work, less a reserve for more of that.
+
+        Low-priority work that filled these machines was evicted again by the next services, and began anew.
+        """
+        free = held = 0.0
+        for slot in self.floor.slots.values():
+            if slot.high_cpus > TINY:
+                free += max(0.0, slot.free_cpus)
+                held += slot.high_cpus
+        return free - self.node.operator.machine_reserve * held
+
+    def _lacks_room(self, key: tuple[object, ...], need: Need) -> bool:
+        """Whether no room was found for a need in this round that is no bigger. Room only dwindles in a round."""
+        return any(
+            need.cpus >= cpus and need.gpus >= gpus and need.memory_gb >= memory
+            for cpus, gpus, memory in self._no_room.get(key, ())
+        )
+
+    def _place_job(self, change: Change, job: Job, inside: bool, home: str, most: int) -> int:
+        """Place one job's waiting tasks as far as they go, or only set the room aside if it is another home's job."""
+        spec = job.spec
+        claimed = self.ledger.claimed(spec.team)
+        ours = home == self.node.name and claimed
+        room = min(change.team_room(job), most)
+        why = ""
+        zones, cap = zone_room(self.picture, job) if spec.spread or spec.one_zone else ({}, spec.tasks)
+        if spec.one_zone and cap < spec.tasks:
+            room, why = 0, "some of its machines are not known yet"
+        need = need_of(job, inside, home)
+        high = need.rank <= self.floor.line
+        kept_out = not high and not inside and self._spare < need.cpus
+        taken = evicted = 0
+        where = (
+            tuple(spec.types) if spec.types is not None else None,
+            spec.zone,
+            spec.spot,
+            # Zones that are full for this job are not looked at.
+            tuple(sorted(zone for zone, count in zones.items() if count >= cap)) if spec.spread else (),
+            high or inside,
+        )
+        push = (*where, need.rank, need.guaranteed, need.team)
+        ranking: Ranking | None = None
+        usable: list[Slot] = []
+        if room > 0 and not spec.one_zone and self._lacks_room(where, need) and self._lacks_room(push, need):
+            room = 0
+            why = "no machine has room"
+        for number in job.queued_tasks():
+            if taken >= room:
+                why = why or "the team's limit is used up"
+                break
+            before = change.task(job, number)
+            if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
+                continue
+            if ranking is None:
+                usable = list(self.floor.usable(spec))
+                if spec.one_zone:
+                    usable = one_zone(usable, zones)
+                elif spec.spread:
+                    usable = [slot for slot in usable if zones.get(slot.zone, 0) < cap]
+                if kept_out:
+                    usable = [slot for slot in usable if slot.high_cpus <= TINY]
+                ranking = Ranking(need, usable, self.chooser.high.rank if high else self.chooser.low.rank)
+            offer = self.chooser.choose(need, ranking, usable, before)
+            if offer is None:
+                if usable and not spec.one_zone and not (spec.spread and taken):
+                    for key in (where, push):
+                        self._no_room.setdefault(key, []).append((need.cpus, need.gpus, need.memory_gb))
+                why = "no machine has room" if usable else "no allowed machine is up"
+                break
+            slot = offer.slot
+            taken += 1
+            self.floor.plan_on(slot)
+            if offer.victims:
+                evicted += self._evict(change, job, need, offer, ours)
+                why = "waiting for evicted work to stop"
+            elif not slot.fits(need):
+                why = "waiting for evicted work to stop"
+                claim(slot, need)
+            else:
+                if ours and not self.writer.put(change, job, number, before, slot):
+                    ours, why = False, "about to be placed"
+                ranking.take(slot, self.floor.line)
+                if not high and not inside and slot.high_cpus > TINY:
+                    self._spare -= need.cpus
+                    if self._spare < need.cpus:
+                        usable = [slot for slot in usable if slot.high_cpus <= TINY]
+                        ranking.drop(lambda slot: slot.high_cpus > TINY)
+                slot.residents.append(
+                    Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team, inside, 1 << 40)
+                )
+            if spec.spread:
+                zones[slot.zone] = zones.get(slot.zone, 0) + 1
+                if zones[slot.zone] >= cap:
+                    full = slot.zone
+                    usable = [slot for slot in usable if slot.zone != full]
+                    ranking.drop(lambda slot, full=full: slot.zone == full)  # type: ignore[misc]
+        if home == self.node.name:
+            if not claimed:
+                why = why or "about to be placed"
+            if why:
+                self.waits[job.id] = why
+            else:
+                self.waits.pop(job.id, None)
+            if evicted:
+                # Recorded once per job and round.
+                log.info("%s evicts %d tasks", job.id, evicted)
+        return taken
+
+    def _evict(self, change: Change, job: Job, need: Need, offer: Offer, ours: bool) -> int:
+        count = 0
+        slot = offer.slot
+        for victim in offer.victims:
+            other = self.picture.jobs.get(victim.job)
+            if not ours or other is not None and self.stops.stop_with_gang(change, other, victim.number, job.id):
+                slot.free_up(victim)
+                count += 1
+        claim(slot, need)
+        return count
+
+    def _due(self, job: str, number: int, task: TaskRecord) -> bool:
+        """Tasks that have failed wait longer each time."""
+        if not task.failures:
+            return True
+        key = (job, number, task.attempt)
+        due = self._retry.get(key)
+        if due is None:
+            if len(self._retry) > 20_000:
+                self._retry.clear()
+            wait = timedelta(seconds=min(BACK_OFF_MOST, 2.0 ** (task.failures - 1)))
+            due = self._retry[key] = self.node.now + wait
+        return self.node.now >= due
+
+    def reason(self, job: Job) -> str:
+        """Why a job waits, or why some of its tasks last stopped."""
+        parts = []
+        if job.queued_count:
+            parts.append(self.waits.get(job.id, "waiting to be placed"))
+            notes: dict[str, int] = {}
+            for chunk in job.chunks.values():
+                for task in chunk:
+                    if task.note and task.state is TaskState.QUEUED:
+                        notes[task.note] = notes.get(task.note, 0) + 1
+            parts += [f"{note} ({count})" for note, count in sorted(notes.items(), key=lambda item: -item[1])[:3]]
+        return "; ".join(parts)
--- /dev/null
+++ b/src/gladecroft/coordination/placers/stops.py
@@ -0,0 +1,135 @@
+"""What is told to stop: work on machines that go, services on machines that are emptied, victims, broken gangs.
+
+The home does it, not the machine's owner, so that a team's records have one writer.
+"""
+
+from __future__ import annotations
+
+from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.placers.choice import Chooser, need_of, zone_room
+from gladecroft.coordination.placers.floor import Floor
+from gladecroft.coordination.placers.placement import Offer
+from gladecroft.protocol.wire import Kind
+
+#: Begins the note of a service that makes way, whose machine follows.
+MOVED = "moved from"
+#: So many seconds before a machine is taken, what still runs there is stopped, so that its end is known at once.
+LAST_MOMENT = 3.0
+MOVES_AT_ONCE = 2
+#: In a large fleet one more service may move at a time for so many machines.
+MACHINES_PER_MOVE = 20
+
+
+class Stops:
+    def __init__(self, node: Node, membership: Membership, floor: Floor, chooser: Chooser) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.floor = floor
+        self.high = chooser.high
+        self.low = chooser.low
+
+    def drain(self, change: Change) -> None:
+        """Stop what of our jobs runs on machines that are about to go or are taken out of use.
+
+        The home does it, not the machine's owner, so that a team's records have one writer.
+        """
+        for name, use in self.picture.aside.items():
+            if use not in (MachineUse.LEAVING, MachineUse.BAD):
+                continue
+            why = "notice" if use is MachineUse.LEAVING else "bad machine"
+            until_s = self.picture.machines[name].until_s if use is MachineUse.LEAVING else 0
+            for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
+                job = self.picture.jobs[job_name]
+                if task.state is not TaskState.ACTIVE or job.cancelled or self._ends_in_time(job, task, until_s):
+                    continue
+                if self.membership.job_home(job.spec) == self.node.name:
+                    self.stop(change, job, number, f"{why} {name}")
+
+    def _ends_in_time(self, job: Job, task: TaskRecord, until_s: int) -> bool:
+        """Whether a task that can't save will probably end before its machine is taken. Stopped, it begins anew."""
+        now = self.node.wall.timestamp()
+        if job.spec.checkpoint_s > 0 or job.spec.kind is not Kind.ARRAY or until_s - now <= LAST_MOMENT:
+            return False
+        return job.spec.estimate_s - (now - task.placed_s) <= until_s - now
+
+    def move(self, change: Change) -> None:
+        """Move our services off machines that are being emptied, a few at a time and only to where there is room."""
+        me = self.node.name
+        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
+        if not emptying:
+            return
+        if any(
+            job.spec.kind is Kind.SERVICE and self.membership.job_home(job.spec) == me
+            for job in self.picture.queued.values()
+        ):
+            return
+        at_once = max(MOVES_AT_ONCE, len(self.picture.machines) // MACHINES_PER_MOVE)
+        on_the_way = sum(
+            task.state is TaskState.STOPPING and task.note.startswith(MOVED)
+            for job in self.picture.jobs.values()
+            if job.counts[TaskState.STOPPING]
+            and job.spec.kind is Kind.SERVICE
+            and self.membership.job_home(job.spec) == me
+            for _, task in job.placed()
+        )
+        guaranteed = self.picture.guaranteed()
+        self.floor.refresh(guaranteed)
+        for name in emptying:
+            for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
+                if on_the_way >= at_once or not change.room(1, 0):
+                    return
+                job = self.picture.jobs[job_name]
+                if job.spec.kind is not Kind.SERVICE or task.state is not TaskState.ACTIVE or job.cancelled:
+                    continue
+                if self.membership.job_home(job.spec) != me:
+                    continue
+                offer = self._where_else(job, job_name in guaranteed, self.picture.machines[name].zone)
+                if offer is not None and self.stop(change, job, number, f"{MOVED} {name}"):
+                    self.floor.plan_on(offer.slot)
+                    offer.slot.take(need_of(job, job_name in guaranteed, me), self.floor.line)
+                    on_the_way += 1
+
+    def _where_else(self, job: Job, inside: bool, zone: str) -> Offer | None:
+        zones, cap = zone_room(self.picture, job)
+        zones[zone] = zones.get(zone, 0) - 1
+        need = need_of(job, inside, self.node.name)
+        usable = [
+            slot
+            for slot in self.floor.usable(job.spec)
+            if slot.fits(need) and zones.get(slot.zone, 0) < cap and (not job.spec.one_zone or slot.zone == zone)
+        ]
+        return self.low.choose(need, self.high.offers(need, usable))
+
+    def stop(self, change: Change, job: Job, number: int, note: str) -> bool:
+        task = change.task(job, number)
+        if task.state is not TaskState.ACTIVE or self.picture.ended.get((job.id, number)) == task.attempt:
+            return False
+        if not change.room(0 if change.has_chunk(job, number) else 1, 0):
+            return False
+        after = TaskRecord(TaskState.STOPPING, task.attempt, task.machine, task.failures, note[:24], task.placed_s)
+        change.set_task(job, number, after)
+        change.notes.append(f"{job.id}/{number}#{task.attempt} on {task.machine} is to stop: {note}")
+        return True
+
+    def mend_gangs(self, change: Change) -> None:
+        """A gang that has lost a task is stopped and queued whole."""
+        for job in self.picture.gangs.values():
+            if job.cancelled or not job.queued_count or not job.occupied:
+                continue
+            if self.membership.job_home(job.spec) == self.node.name:
+                for number, task in list(job.placed()):
+                    if task.state is TaskState.ACTIVE:
+                        self.stop(change, job, number, "gang incomplete")
+
+    def stop_with_gang(self, change: Change, job: Job, number: int, cause: str) -> bool:
+        """Evict a task, and all of its gang with it."""
+        if job.spec.kind is not Kind.GANG:
+            return self.stop(change, job, number, f"evicted for {cause}")
+        stopped = False
+        for other, _ in list(job.placed()):
+            stopped |= self.stop(change, job, other, f"evicted for {cause}")
+        return stopped
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,6 @@
 """The two placers on the ordinary path, as DESIGN states them."""
 
-from gladecroft.coordination.placement import HighPlacer, LowSide, Need, Resident, Slot, may_evict, victims_on
+from gladecroft.coordination.placers.placement import HighPlacer, LowSide, Need, Resident, Slot, may_evict, victims_on
 
 LINE = 1
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -61,9 +61,9 @@
     made.value_bytes = 1024
     for number in range(40):
         made.hear(f"m-1{number:05d}", rec.MachineRecord("g", "a", False, f"10.1.9.{number}:9000"))
-    ledger.untold_machines = dict.fromkeys(made.heard)
+    ledger.ends.untold_machines = dict.fromkeys(made.heard)
     change = Change(made, 100, 52_000)
-    ledger._compose_mail(change)
+    ledger.ends.compose_mail(change, ledger.machine_puts)
     value = change.puts[rec.mail_key("n0")] or b""
     told = {heard.name for heard in msgspec.json.decode(value, type=rec.MailRecord).heard}
     assert len(value) <= 1024 and 5 < len(told) < 40
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,8 +11,9 @@
 from gladecroft.bookkeeping.picture import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.ledger import Outcome
+from gladecroft.coordination.ledger.closing import bound_teams
 from gladecroft.coordination.messages import Answered, Asked, Call, Target, Verb
-from gladecroft.coordination.placement import HighPlacer, LowSide, Ranking
+from gladecroft.coordination.placers.placement import HighPlacer, LowSide, Ranking
 from gladecroft.protocol import peers, wire
 from gladecroft.protocol.settings import Objective
 from runner import Scenario
@@ -253,7 +254,7 @@
         if active == 100:
             rig.revision += 1
             core.node.picture.apply("g/j/wk-3", None, rig.revision)  # nothing waits
-        assert core.ledger._bound_teams() == bound, active
+        assert bound_teams(core.node.picture) == bound, active
 
 
 def test_a_job_past_helping_has_no_privilege_if_its_team_has_more_than_its_guarantee() -> None:
@@ -273,7 +274,7 @@
         rig.put(f"g/j/{name}", record)
 
     def pressing() -> set[str]:
-        return core.placers.pressing(core.node.picture.guaranteed())
+        return core.placers.queue.pressing(core.node.picture.guaranteed())
 
     submit("wk-2", 120.0)
     submit("wk-3", 30.0)
@@ -285,7 +286,7 @@
     # A service that is late is missed as long as it is not up.
     late = core.node.picture.jobs["wk-2"]
     service = rec.JobRecord(msgspec.structs.replace(spec, kind=wire.Kind.SERVICE), late.record.accepted_ms)
-    assert core.placers._past_helping(late) and not core.placers._past_helping(Job(service, 1, 10))
+    assert core.placers.queue._past_helping(late) and not core.placers.queue._past_helping(Job(service, 1, 10))
     # Nor is anything left lying for ever.
     submit("wk-5", 400.0)
     assert pressing() == {"wk-5"}
