Users and membership take several rooms each

Answers (desk), lookups and commits of users' requests stand apart, as do the sharing out of machines and teams (parts), the reading at a start (listing) and what the next epoch is to be (epochs, pure functions).

--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -31,7 +31,7 @@
         self.placers = Placers(self.node, self.membership, self.keeper, self.ledger)
         self.fleet = Fleet(self.node, self.membership, self.keeper, self.ledger, self.placers)
         self.users = Users(self.node, self.membership, self.placers.fits)
-        self.users.reason = self.placers.reason
+        self.users.desk.reason = self.placers.reason
 
     def step(self, clock: Clock, events: list[Event]) -> list[Effect]:
         """Take in a batch of events and say what is to be done."""
--- a/src/gladecroft/coordination/membership.py
+++ b/src/gladecroft/coordination/membership/membership.py
@@ -10,60 +10,36 @@
 
 import logging
 from datetime import timedelta
-from functools import lru_cache
-from hashlib import blake2b
 
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.membership.epochs import fitting, next_epoch, turn
+from gladecroft.coordination.membership.listing import Listing
+from gladecroft.coordination.membership.parts import Parts
 from gladecroft.coordination.messages import Watch, Watched
-from gladecroft.coordination.node import SLACK, Node
+from gladecroft.coordination.node import RETRY, SLACK, Node
 from gladecroft.protocol import wire
-from gladecroft.protocol.wire import JobSpec
 
 log = logging.getLogger(__name__)
 
-PAGE = 400
-RETRY = timedelta(seconds=0.4)
-#: How long newcomers wait for each other before they propose an epoch.
-NEXT = timedelta(seconds=0.3)
 TOKEN_BITS = 24
-#: No key of a final state sorts after this: jobs' names end in digits.
-AFTER_FINALS = rec.FINALS + "~"
-#: Stands for the end of the listing.
-LISTED = "~"
 #: An epoch in which only machines move comes at the earliest so long after the one before: one for many machines.
 MOVES_APART = timedelta(seconds=1.5)
 STUCK = timedelta(seconds=2.5)
 WATCH_APART = timedelta(milliseconds=100)
 
 
-@lru_cache(maxsize=8192)
-def _weight(member: str, thing: str) -> bytes:
-    return blake2b(f"{member} {thing}".encode(), digest_size=8).digest()
-
-
-def by_hash(members: list[str], thing: str) -> str:
-    """Highest random weight: a member that goes moves only what was its own."""
-    return max(members, key=lambda member: _weight(member, thing))
-
-
-def fitting(record: rec.EpochRecord, most: int) -> rec.EpochRecord:
-    """The record with as many of its moved machines, the latest, as fit into a value of so many bytes."""
-    moved = list(record.moved.items())
-    size = len(msgspec.json.encode(record))
-    drop = 0
-    while size > most and drop < len(moved):
-        name, to = moved[drop]
-        size -= len(msgspec.json.encode(name)) + len(msgspec.json.encode(to)) + 2
-        drop += 1
-    return msgspec.structs.replace(record, moved=dict(moved[drop:])) if drop else record
-
-
 class Membership:
     def __init__(self, node: Node) -> None:
         self.node = node
         self.picture = node.picture
+        zones = {peer.name: peer.zone for peer in node.platform.peers} | {node.name: node.platform.zone}
+        self.parts = Parts(node.picture, zones)
+        self.owner = self.parts.owner
+        self.home = self.parts.home
+        self.job_home = self.parts.job_home
+        self.listing = Listing(node, self.tick)
         self.lease: int | None = None
         self.incarnation: int | None = None
         self.epoch_seen_at = timedelta()
@@ -79,18 +55,11 @@
         self._credits: list[tuple[timedelta, int]] = []
         self._last_renewal = timedelta(days=-1)
         self._asking: dict[str, timedelta] = {}
-        self._page_after: str | None = None
         self._watch_open = False
         self._watch_next = timedelta()
         self._mismatch_since: timedelta | None = None
         self._known_epoch = -1
         self._wanted_moves: dict[str, str] = {}
-        self._lag: tuple[timedelta, int] | None = None
-        self._members_list: list[str] = []
-        self._members_by_zone: dict[str, list[str]] = {}
-        self._owners: dict[tuple[str, str], str] = {}
-        self._homes: dict[str, str] = {}
-        self._zones = {peer.name: peer.zone for peer in node.platform.peers} | {node.name: node.platform.zone}
 
     # Questions -----------------------------------------------------------------------------------------------
 
@@ -137,67 +106,6 @@
     def leads(self) -> bool:
         return self.entitled() and self.picture.epoch is not None and self.picture.epoch.leader == self.node.name
 
-    def owner(self, machine: str, zone: str | None = None) -> str | None:
-        """Whose part the machine is in: a controller of its own zone if there is one, so that zones which can't
-        reach each other go on working inside. ``zone`` serves for machines that are not known yet.
-
-        Of a machine whose zone is not known nobody is the owner. If such a one were taken for its owner it would sooner
-        or later call the machine's work lost, while the true owner goes on answering it.
-        """
-        epoch = self.picture.epoch
-        if epoch is None or not epoch.members:
-            return None
-        moved = epoch.moved.get(machine)
-        if moved in epoch.members:
-            return moved
-        known = self.picture.machines.get(machine)
-        if known is None and zone is None:
-            return None
-        where = (machine, known.zone if known is not None else zone or "")
-        owner = self._owners.get(where)
-        if owner is None:
-            if len(self._owners) > 4 * len(self.picture.machines) + 1000:
-                self._owners.clear()
-            near = self._members_by_zone.get(where[1])
-            owner = self._owners[where] = by_hash(near or self._members_list, machine)
-        return owner
-
-    def home(self, team: str) -> str | None:
-        """The controller that places the tasks of a team's jobs: one for the whole team, so that its limit and the
-        order of its jobs are not fought over. Gangs go to the leader, and with them all that their team has."""
-        if self.picture.gang_teams.get(team):
-            return self.picture.epoch.leader if self.picture.epoch is not None else None
-        home = self._homes.get(team)
-        if home is None and self._members_list:
-            home = by_hash(self._members_list, team)
-        return home
-
-    def _share_out_teams(self) -> None:
-        """Give each team its home by hash, but no controller more than its share of the teams.
-
-        A team that is the only one has its home at the leader: who rents and returns machines then knows at once which
-        work has ended, though the records don't say so yet.
-        """
-        self._homes = {}
-        epoch = self.picture.epoch
-        if not self._members_list or epoch is None:
-            return
-        if len(self.picture.limits) == 1:
-            self._homes = dict.fromkeys(self.picture.limits, epoch.leader)
-            return
-        most = -(-len(self.picture.limits) // len(self._members_list))
-        held = dict.fromkeys(self._members_list, 0)
-        for team in sorted(self.picture.limits):
-            home = by_hash([member for member in self._members_list if held[member] < most], team)
-            self._homes[team] = home
-            held[home] += 1
-
-    def job_home(self, spec: JobSpec) -> str | None:
-        """The controller that places this job's tasks; gangs go whole to the leader."""
-        if spec.kind is wire.Kind.GANG:
-            return self.picture.epoch.leader if self.picture.epoch is not None else None
-        return self.home(spec.team)
-
     def _of_use(self, machine: str) -> bool:
         """Whether a machine that was moved is still there."""
         use = self.picture.aside.get(machine, rec.MachineUse.UP)
@@ -217,7 +125,7 @@
     def tick(self) -> None:
         node = self.node
         if not node.loaded:
-            self._load()
+            self.listing.load()
             return
         if not self._watch_open and node.now >= self._watch_next:
             self._watch_open = True
@@ -242,54 +150,6 @@
         self._asking[what] = self.node.now + 3 * RETRY
         return True
 
-    def _load(self) -> None:
-        """List the records, page by page; the watch then goes on from the first page's revision.
-
-        The states of jobs that are over are kept for ever and would make every start longer than the last; they are
-        left out and read when somebody asks. The epoch's key sorts before them, so it is read by itself, last: a
-        change to it after the first page's revision also comes by the watch.
-        """
-        if not self._ready("load"):
-            return
-        after = self._page_after or AFTER_FINALS
-
-        def then(status: int, body: bytes) -> None:
-            self._asking.pop("load", None)
-            if status != 200:
-                self._asking["load"] = self.node.now + RETRY
-                return
-            page: wire.Range = wire.decode(wire.Range, body)
-            if self._page_after is None:
-                self.picture.revision = page.revision
-            for item in page.items:
-                self.picture.apply(item.key, item.value, item.version)
-            if page.more and page.items:
-                self._page_after = page.items[-1].key
-            else:
-                self._page_after = LISTED
-            self._load()
-
-        def epoch(status: int, body: bytes) -> None:
-            self._asking.pop("load", None)
-            if status == 200:
-                item: wire.Item = wire.decode(wire.Item, body)
-                self.picture.apply(item.key, item.value, item.version)
-            elif status != 404:
-                self._asking["load"] = self.node.now + RETRY
-                return
-            self._page_after = None
-            self.node.loaded = True
-            log.info("picture loaded at revision %d: %d jobs, %d machines",
-                     self.picture.revision, len(self.picture.jobs), len(self.picture.machines))  # fmt: skip
-            self.tick()
-
-        if after == LISTED:
-            sent = self.node.state("GET", wire.key_path(rec.EPOCH), None, epoch, urgent=True)
-        else:
-            sent = self.node.state("GET", wire.range_path(rec.ROOT, after, PAGE), None, then, urgent=True)
-        if not sent:
-            self._asking.pop("load", None)
-
     def watched(self, event: Watched) -> None:
         self._watch_open = False
         if event.gap:
@@ -297,7 +157,7 @@
             log.error("the watch lost its place at revision %d: reading all records again", self.picture.revision)
             self.picture.reset()
             self.node.loaded = False
-            self._page_after = None
+            self.listing.start_again()
             self._known_epoch = -1
             self._credits.clear()
             self.entitled_until = timedelta(days=-1)
@@ -436,12 +296,7 @@
         self._known_epoch = number
         self.epoch_seen_at = self.node.now
         self.changed = True
-        self._members_list = sorted(epoch.members) if epoch else []
-        self._members_by_zone = {}
-        for name in self._members_list:
-            self._members_by_zone.setdefault(self._zones.get(name) or "?", []).append(name)
-        self._owners.clear()
-        self._share_out_teams()
+        self.parts.follow(epoch)
         if epoch is not None:
             self.node.share(len(epoch.members), epoch.leader == self.node.name)
             self._wanted_moves.clear()
@@ -463,28 +318,14 @@
             return
         if self._mismatch_since is None:
             self._mismatch_since = node.now
-        old = epoch.members if epoch is not None else {}
-        order = sorted(live, key=lambda name: (old.get(name) != live[name], live[name]))
-        newcomers = [name for name in order if old.get(name) != live[name]]
-        if moves_only:
-            wait = timedelta()
-        elif node.name in newcomers:
-            # Those who were there before come first, but may be dead with their leases still running. After a crash of
-            # all, leases of machines run out in the second that it takes until the last has come back.
-            wait = (1 + newcomers.index(node.name)) * NEXT
-        else:
-            wait = order.index(node.name) * 2 * RETRY
+        wait = timedelta() if moves_only else turn(node.name, epoch, live)
         if node.now - self._mismatch_since < wait or not self._ready("propose"):
             return
-        leader = epoch.leader if epoch is not None and live.get(epoch.leader) == old.get(epoch.leader) else order[0]
-        kept = {m: to for m, to in (epoch.moved if epoch else {}).items() if live.get(to, -1) == old.get(to)}
-        kept = {m: to for m, to in {**kept, **moves}.items()
-                if m in moves or self._of_use(m)}  # fmt: skip
-        number = (epoch.number if epoch else 0) + 1
-        record = fitting(rec.EpochRecord(number, leader, live, kept), int(node.cluster.state.value_kb * 1024))
-        if len(record.moved) < len(kept):
+        whole = next_epoch(epoch, live, moves, self._of_use)
+        record = fitting(whole, int(node.cluster.state.value_kb * 1024))
+        if len(record.moved) < len(whole.moved):
             log.error("epoch %d: no room for %d of the %d machines moved: they go back to the split by hash",
-                      number, len(kept) - len(record.moved), len(kept))  # fmt: skip
+                      record.number, len(whole.moved) - len(record.moved), len(whole.moved))  # fmt: skip
         value = msgspec.json.encode(record)
         key = rec.MEMBERS + node.name
 
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -21,6 +21,8 @@
 CLOUD_LIMIT = timedelta(seconds=6)
 WORKER_LIMIT = timedelta(seconds=2)
 PEER_LIMIT = timedelta(seconds=1)
+#: How long after a request that was not served it is made again.
+RETRY = timedelta(seconds=0.4)
 #: The part of the writes that is shared evenly, whatever the work.
 EVEN = 0.4
 LEND = 1.7
--- /dev/null
+++ b/src/gladecroft/coordination/users/changes.py
@@ -0,0 +1,156 @@
+"""Commits acceptances and cancellations, many at a time."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.membership import Membership
+from gladecroft.coordination.messages import Verb
+from gladecroft.coordination.node import Node
+from gladecroft.coordination.users.desk import Desk, Waiting
+from gladecroft.protocol import wire
+
+log = logging.getLogger(__name__)
+
+#: More than so many submissions and cancellations waiting are a wave.
+WAVE = 4
+
+
+class Changes:
+    """``route`` takes a request on again, ``read`` has its job read, ``tell_known`` answers it from the picture."""
+
+    def __init__(
+        self,
+        node: Node,
+        membership: Membership,
+        desk: Desk,
+        route: Callable[[Waiting], None],
+        read: Callable[[Waiting], None],
+        tell_known: Callable[[Waiting], bool],
+    ) -> None:
+        self.node = node
+        self.picture = node.picture
+        self.membership = membership
+        self.desk = desk
+        self._route = route
+        self._read = read
+        self._tell_known = tell_known
+        self._waiting: deque[Waiting] = deque()
+        self._changing = False
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def append(self, waiting: Waiting) -> None:
+        self._waiting.append(waiting)
+
+    def flush(self) -> None:
+        """Commit a batch of acceptances and cancellations."""
+        node = self.node
+        # Single submissions are taken at once. A wave takes turns with placing: without that it kept all that was
+        # accepted from being placed.
+        wave = len(self._waiting) > WAVE
+        node.users_want = wave
+        if self._changing or not self._waiting:
+            return
+        few = node.writes.look(node.now) < min(WAVE, node.writes.burst)
+        if wave and (few or node.ledger_wants and node.ledgers_turn):
+            return
+        ops_limit = min(node.cluster.state.txn_ops, max(1, int(node.writes.look(node.now))))
+        conditions = {rec.EPOCH: self.picture.version(rec.EPOCH)}
+        batch: dict[str, tuple[rec.JobRecord, list[Waiting]]] = {}
+        ops: list[wire.Put] = []
+        size = 300
+        while self._waiting and len(ops) < ops_limit and len(conditions) + 2 <= 4 * node.cluster.state.txn_ops:
+            waiting = self._waiting[0]
+            name = waiting.asked.job
+            job = self.picture.jobs.get(name)
+            if not self.desk.alive(waiting):
+                self._waiting.popleft()
+                continue
+            if name in batch:
+                if waiting.asked.verb is not Verb.SUBMIT or batch[name][0].cancelled:
+                    break
+                self._waiting.popleft()
+                batch[name][1].append(waiting)
+                continue
+            if waiting.asked.verb is Verb.SUBMIT:
+                if job is not None or name in self.picture.finals:
+                    self._waiting.popleft()
+                    self._route(waiting) if job is not None else self._tell_known(waiting)
+                    continue
+                assert waiting.spec is not None
+                record = rec.JobRecord(waiting.spec, int(node.wall.timestamp() * 1000))
+                versions = {rec.job_key(name): 0, rec.final_key(name): 0}
+            else:
+                if job is None or job.cancelled:
+                    self._waiting.popleft()
+                    self._route(waiting) if name not in self.picture.finals else self._tell_known(waiting)
+                    continue
+                record = rec.JobRecord(job.spec, job.record.accepted_ms, True)
+                versions = {rec.job_key(name): job.version}
+            value = msgspec.json.encode(record)
+            size += len(value) + 300
+            if size > 60_000 and ops:
+                break
+            self._waiting.popleft()
+            conditions.update(versions)
+            ops.append(wire.Put(rec.job_key(name), msgspec.Raw(value)))
+            batch[name] = (record, [waiting])
+        if not ops:
+            return
+        body = wire.encode(wire.Txn([wire.Condition(*pair) for pair in conditions.items()], list(ops)))
+
+        def put_back() -> None:
+            for _, group in reversed(list(batch.values())):
+                self._waiting.extendleft(reversed([waiting for waiting in group if self.desk.alive(waiting)]))
+
+        def then(status: int, body: bytes) -> None:
+            self._changing = False
+            node.spend("accepted or cancelled" if status == 200 else f"refused ({status})", len(ops))
+            if status == 200:
+                revision = wire.decode(wire.TxnReply, body).revision
+                for op in ops:
+                    self.picture.apply(op.key, op.value, revision)
+                for name, (record, group) in batch.items():
+                    self._committed(name, record, group)
+            elif status == 409:
+                failed = set(wire.decode(wire.TxnReply, body).failed)
+                for name in list(batch):
+                    if rec.job_key(name) in failed or rec.final_key(name) in failed:
+                        for waiting in batch.pop(name)[1]:
+                            self._read(waiting)
+                put_back()
+                if rec.EPOCH in failed:
+                    self.membership.refresh_epoch()
+            elif status in (-1, 429, 503):
+                put_back()
+            else:
+                # Unknown outcome: what the store has now decides; a job not there may still come later.
+                for _, group in batch.values():
+                    for waiting in group:
+                        self._read(waiting)
+
+        if node.state("POST", wire.COMMIT_PATH, body, then, writes=len(ops)):
+            self._changing = True
+            node.ledgers_turn = True
+        else:
+            put_back()
+
+    def _committed(self, name: str, record: rec.JobRecord, group: list[Waiting]) -> None:
+        job = self.picture.jobs.get(name)
+        if record.cancelled:
+            log.info("job %s: cancelled by its user", name)
+        else:
+            log.info("job %s: accepted, %d tasks of %s for %s", name, record.spec.tasks, record.spec.job_class,
+                     record.spec.team)  # fmt: skip
+        for index, waiting in enumerate(group):
+            if job is not None:
+                self.desk.tell(waiting, job, 201 if index == 0 and waiting.asked.verb is Verb.SUBMIT else 200)
+            else:
+                self._tell_known(waiting)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -73,7 +73,7 @@
 def test_mail_is_read_under_its_epoch_only() -> None:
     for epoch, taken in ((1, True), (2, False)):
         rig = Rig()
-        rig.core.membership._homes["t"] = "n0"
+        rig.core.membership.parts.homes["t"] = "n0"
         rig.place(TaskState.ACTIVE)
         ended = [EndedAttempt("wk-1", 0, 1, True)]
         heard = [HeardMachine("m-7", "g", "a", False, "10.1.0.7:9000")]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -72,7 +72,7 @@
 
 def rig_with_a_foreign_home() -> Rig:
     rig = Rig()
-    rig.core.membership._homes["t"] = "n1"
+    rig.core.membership.parts.homes["t"] = "n1"
     rig.place(TaskState.ACTIVE)
     rig.tasks["wk-1/0"] = {"portion": "wk-1/0", "try": 1, "status": "exited", "cause": "done"}
     return rig
@@ -107,7 +107,7 @@
 def test_a_proof_counts_under_its_epoch_only() -> None:
     for epoch, taken in ((1, True), (2, False), (0, False)):
         rig = Rig()
-        rig.core.membership._homes["t"] = "n0"
+        rig.core.membership.parts.homes["t"] = "n0"
         rig.put("g/p/wk-1/0", rec.ChunkRecord([TaskRecord(TaskState.ACTIVE, 1, "m-9")]))
         rig.put("g/m/m-9", rec.MachineRecord("g", "a", False, "10.1.0.9:9000"))
         tell(rig, epoch)
@@ -129,7 +129,7 @@
     rig.core.node.picture.limits.update(
         {f"t{index}": rig.core.node.picture.limits["t"] for index in range(9)}  # ten in all
     )
-    membership._share_out_teams()
+    membership.parts.share_out_teams()
     homes = [membership.home(team) for team in rig.core.node.picture.limits]
     assert sorted(map(homes.count, ("n0", "n1"))) == [5, 5]
 
@@ -145,7 +145,7 @@
     rig.revision += 1
     core.node.picture.apply("g/j/wk-1", None, rig.revision)
     rig.put("g/j/wk-1", rec.JobRecord(spec, 0))
-    core.membership._homes["t"] = "n0"
+    core.membership.parts.homes["t"] = "n0"
     core.membership._last_renewal = clock(100_000).steady
     core.node.state_ok_at = clock(100).steady
     core.placers.floor.set_types({"g": wire.MachineType("g", 96, 768, 1, 1, 30, ["a"], 8)})
@@ -211,7 +211,7 @@
     core.node.picture.apply("g/j/wk-1", None, rig.revision)  # nothing waits for the team's limit
     rig.put("g/j/wk-2", rec.JobRecord(spec, 0))
     rig.put("g/p/wk-2/0", rec.ChunkRecord([TaskRecord(TaskState.ACTIVE, 1, "m-1")] * 3))
-    core.membership._homes["t"] = "n0"
+    core.membership.parts.homes["t"] = "n0"
     core.membership._last_renewal = clock(100_000).steady
     core.node.state_ok_at = clock(100).steady
 
