--- /dev/null
+++ b/src/gladecroft/bookkeeping/job.py
@@ -0,0 +1,84 @@
+"""An accepted job that is not over, with its tasks, as the records tell."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.records import TaskState
+from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec
+
+#: A job's name and the task's number.
+TaskKey = tuple[str, int]
+
+#: What a task is whose chunk has no record yet.
+EMPTY = rec.TaskRecord()
+
+
+class Job:
+    """An accepted job that is not over, with its tasks."""
+
+    __slots__ = (
+        "id", "spec", "record", "version", "chunks", "versions", "counts", "begun", "rank", "size",
+    )  # fmt: skip
+
+    def __init__(self, record: rec.JobRecord, version: int, size: int) -> None:
+        self.id = record.spec.id
+        self.spec: JobSpec = record.spec
+        self.record = record
+        self.version = version
+        self.size = size
+        self.chunks: dict[int, list[rec.TaskRecord]] = {}
+        self.versions: dict[int, int] = {}
+        self.counts = [record.spec.tasks, 0, 0, 0]
+        #: Tasks that have been placed at least once.
+        self.begun = 0
+        self.rank = PRIORITY_RANK[record.spec.priority]
+
+    @property
+    def cancelled(self) -> bool:
+        return self.record.cancelled
+
+    @property
+    def occupied(self) -> int:
+        return self.counts[TaskState.ACTIVE] + self.counts[TaskState.STOPPING]
+
+    @property
+    def done(self) -> int:
+        return self.counts[TaskState.DONE]
+
+    @property
+    def queued_count(self) -> int:
+        return 0 if self.cancelled else self.counts[TaskState.QUEUED]
+
+    @property
+    def over(self) -> bool:
+        """Nothing of it can run any more: all done, or cancelled with every attempt gone."""
+        return self.done == self.spec.tasks or (self.cancelled and self.occupied == 0)
+
+    def chunk_count(self) -> int:
+        return -(-self.spec.tasks // self.size)
+
+    def chunk_length(self, index: int) -> int:
+        return min(self.size, self.spec.tasks - index * self.size)
+
+    def task(self, number: int) -> rec.TaskRecord:
+        chunk = self.chunks.get(number // self.size)
+        return EMPTY if chunk is None else chunk[number % self.size]
+
+    def queued_tasks(self) -> Iterator[int]:
+        for index in range(self.chunk_count()):
+            chunk = self.chunks.get(index)
+            base = index * self.size
+            if chunk is None:
+                yield from range(base, base + self.chunk_length(index))
+            else:
+                for offset, task in enumerate(chunk):
+                    if task.state == TaskState.QUEUED:
+                        yield base + offset
+
+    def placed(self) -> Iterator[tuple[int, rec.TaskRecord]]:
+        for index, chunk in self.chunks.items():
+            for offset, task in enumerate(chunk):
+                if task.state in (TaskState.ACTIVE, TaskState.STOPPING):
+                    yield index * self.size + offset, task
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineRecord, MachineUse
 from gladecroft.coordination.fleet.market import Market
 from gladecroft.coordination.fleet.plan import Bin, Plan, Room, Terms, empty_bin
--- a/src/gladecroft/coordination/fleet/plan.py
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineSort
 from gladecroft.protocol.wire import JobSpec, MachineType
 
--- a/src/gladecroft/coordination/fleet/shrink.py
+++ b/src/gladecroft/coordination/fleet/shrink.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.fleet.plan import Bin
 from gladecroft.protocol.wire import JobSpec, Kind
 
--- a/src/gladecroft/coordination/keeper/commands.py
+++ b/src/gladecroft/coordination/keeper/commands.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.keeper.machine import Machine, TaskKey
 from gladecroft.protocol.wire import Command, Op
--- a/src/gladecroft/coordination/ledger/closing.py
+++ b/src/gladecroft/coordination/ledger/closing.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Change, Job, Picture
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.picture import Picture
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.ledger.ends import Ends, Outcome
 from gladecroft.coordination.membership import Membership
--- a/src/gladecroft/coordination/ledger/ends.py
+++ b/src/gladecroft/coordination/ledger/ends.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked
 from gladecroft.coordination.node import Node
--- a/src/gladecroft/coordination/ledger/ledger.py
+++ b/src/gladecroft/coordination/ledger/ledger.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Change
+from gladecroft.bookkeeping.change import Change
 from gladecroft.coordination.ledger.closing import Closing
 from gladecroft.coordination.ledger.ends import Ends
 from gladecroft.coordination.membership import Membership
--- a/src/gladecroft/coordination/membership/membership.py
+++ b/src/gladecroft/coordination/membership/membership.py
@@ -106,13 +106,6 @@
     def leads(self) -> bool:
         return self.entitled() and self.picture.epoch is not None and self.picture.epoch.leader == self.node.name
 
-    def _of_use(self, machine: str) -> bool:
-        """Whether a machine that was moved is still there."""
-        use = self.picture.aside.get(machine, rec.MachineUse.UP)
-        if use in (rec.MachineUse.GONE, rec.MachineUse.RETURNING):
-            return machine in self.picture.on_machine
-        return machine in self.picture.machines or machine in self.picture.on_machine
-
     def base_token(self) -> int:
         return 0 if self.picture.epoch is None else self.picture.epoch.number << TOKEN_BITS
 
@@ -321,7 +314,7 @@
         wait = timedelta() if moves_only else turn(node.name, epoch, live)
         if node.now - self._mismatch_since < wait or not self._ready("propose"):
             return
-        whole = next_epoch(epoch, live, moves, self._of_use)
+        whole = next_epoch(epoch, live, moves, self.parts.of_use)
         record = fitting(whole, int(node.cluster.state.value_kb * 1024))
         if len(record.moved) < len(whole.moved):
             log.error("epoch %d: no room for %d of the %d machines moved: they go back to the split by hash",
--- a/src/gladecroft/coordination/membership/parts.py
+++ b/src/gladecroft/coordination/membership/parts.py
@@ -100,3 +100,10 @@
         if spec.kind is Kind.GANG:
             return self.picture.epoch.leader if self.picture.epoch is not None else None
         return self.home(spec.team)
+
+    def of_use(self, machine: str) -> bool:
+        """Whether a machine that was moved is still there."""
+        use = self.picture.aside.get(machine, rec.MachineUse.UP)
+        if use in (rec.MachineUse.GONE, rec.MachineUse.RETURNING):
+            return machine in self.picture.on_machine
+        return machine in self.picture.machines or machine in self.picture.on_machine
--- a/src/gladecroft/coordination/placers/choice.py
+++ b/src/gladecroft/coordination/placers/choice.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from gladecroft.bookkeeping.picture import Job, Picture
+from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.picture import Picture
 from gladecroft.bookkeeping.records import TaskRecord
 from gladecroft.coordination.placers.placement import TINY, HighPlacer, LowSide, Need, Offer, Ranking, Slot
 
--- a/src/gladecroft/coordination/placers/floor.py
+++ b/src/gladecroft/coordination/placers/floor.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineSort, MachineUse, TaskRecord, TaskState
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
--- a/src/gladecroft/coordination/placers/gangs.py
+++ b/src/gladecroft/coordination/placers/gangs.py
@@ -4,7 +4,8 @@
 
 import logging
 
-from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers.choice import Chooser, claim, need_of, one_zone, zone_room
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -5,7 +5,8 @@
 import logging
 from datetime import timedelta
 
-from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
--- a/src/gladecroft/coordination/placers/queue.py
+++ b/src/gladecroft/coordination/placers/queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.node import Node
 from gladecroft.protocol.wire import Kind
 
--- a/src/gladecroft/coordination/placers/stops.py
+++ b/src/gladecroft/coordination/placers/stops.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
--- a/src/gladecroft/coordination/placers/writer.py
+++ b/src/gladecroft/coordination/placers/writer.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Change, Job
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers.floor import Floor
--- a/src/gladecroft/coordination/users/desk.py
+++ b/src/gladecroft/coordination/users/desk.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.messages import Asked, Verb
 from gladecroft.coordination.node import Node
 from gladecroft.protocol import wire
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Change, Picture
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.picture import Picture
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.messages import Asked, Reply, Verb
 from gladecroft.protocol import wire
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gladecroft.bookkeeping import records as rec
-from gladecroft.bookkeeping.picture import Job
+from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.ledger import Outcome
 from gladecroft.coordination.ledger.closing import bound_teams
