--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -8,7 +8,7 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -32,11 +32,16 @@
         self.value_bytes = int(value_kb * 1024)
         #: Machines without a record, known because they have reported to their owner. They outlast a new listing.
         self.heard: dict[str, rec.MachineRecord] = {}
+        #: Told of each change of a policy's record (subject, name, value), and before all are listed anew.
+        self.policy_news: Callable[[str, str, bytes | None], None] | None = None
+        self.policy_reset: Callable[[], None] | None = None
         self._team_names = {rec.team_key(team.name): team.name for team in teams}
         self.reset()
 
     def reset(self) -> None:
         """Forget everything, to be listed again."""
+        if self.policy_reset is not None:
+            self.policy_reset()
         self.revision = 0
         self.epoch: rec.EpochRecord | None = None
         self.epoch_version = 0
@@ -130,6 +135,10 @@
                 self.members.pop(name, None)
             else:
                 self.members[name] = decode(rec.MemberRecord, value)
+        elif kind == rec.POLICIES:
+            if self.policy_news is not None:
+                subject, _, each = name.partition("/")
+                self.policy_news(subject, each, value)
         elif key == rec.EPOCH:
             self.epoch = None if value is None else decode(rec.EpochRecord, value)
             self.epoch_version = version
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -8,6 +8,7 @@
 g/t/<team>         the controller that alone places a team's tasks
 g/m/<machine>      a machine of which there is more to say than that it is up
 g/x/<controller>   what this controller has to tell others that it can't reach
+g/q/<subject>/<n>  what a policy keeps (sorts after g/f/, so that a start reads it)
 """
 
 from __future__ import annotations
@@ -28,9 +29,11 @@
 TEAMS = "g/t/"
 MACHINES = "g/m/"
 MAIL = "g/x/"
+POLICIES = "g/q/"
 
 #: What the records are called, by prefix.
-CALLED = {JOBS: "job", CHUNKS: "tasks", FINALS: "final state", TEAMS: "claim", MACHINES: "machine", MAIL: "mail"}
+CALLED = {JOBS: "job", CHUNKS: "tasks", FINALS: "final state", TEAMS: "claim", MACHINES: "machine", MAIL: "mail",
+          POLICIES: "policy"}  # fmt: skip
 
 #: Bytes by which the tasks of a chunk are counted. With a note a record may take more: notes go if a value gets too
 #: big.
@@ -154,5 +157,9 @@
     return MAIL + controller
 
 
+def policy_key(subject: str, name: str) -> str:
+    return f"{POLICIES}{subject}/{name}"
+
+
 def machine_key(machine: str) -> str:
     return MACHINES + machine
--- a/src/gladecroft/cli.py
+++ b/src/gladecroft/cli.py
@@ -7,6 +7,7 @@
 import os
 import sys
 from datetime import timedelta
+from importlib import import_module
 
 import anyio
 import click
@@ -14,6 +15,7 @@
 
 from gladecroft import __version__
 from gladecroft.protocol import wire
+from gladecroft.protocol.operators import VIEW_PATH
 from gladecroft.protocol.settings import Operator, Platform, SettingsError, load_operator, load_platform, split_addr
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -37,7 +39,23 @@
     logging.basicConfig(level=LEVELS[name], stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
 
 
-@click.group()
+class _Lazy(click.Group):
+    """A group whose further commands are imported only when called: the daemon needs none of them."""
+
+    further = {"cordon": ("gladecroft.toolbox.cordon", "cordon")}
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *self.further])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        where = self.further.get(cmd_name)
+        if where is None:
+            return super().get_command(ctx, cmd_name)
+        command: click.Command = getattr(import_module(where[0]), where[1])
+        return command
+
+
+@click.group(cls=_Lazy)
 @click.version_option(__version__, prog_name="gladecroft")
 def main() -> None:
     """A cluster scheduler in which a high-priority and a low-priority placer cooperate."""
@@ -103,7 +121,7 @@
     from gladecroft.transport.client import Answer, Client
 
     async def ask() -> Answer:
-        path = "/view" if view else f"{wire.SUBMIT_PATH}/{job}"
+        path = VIEW_PATH if view else f"{wire.SUBMIT_PATH}/{job}"
         return await Client(1, timedelta(seconds=3)).request(addr, "GET", path, None, timedelta(seconds=5))
 
     answer = anyio.run(ask)
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -13,6 +13,7 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Answered, Asked, Clock, Effect, Event, Verb, Watched
 from gladecroft.coordination.node import Node
+from gladecroft.coordination.orders import Orders
 from gladecroft.coordination.placers import Placers
 from gladecroft.coordination.users import Users
 from gladecroft.protocol.settings import Operator, Platform
@@ -32,11 +33,14 @@
         self.fleet = Fleet(self.node, self.membership, self.keeper, self.ledger, self.placers)
         self.users = Users(self.node, self.membership, self.placers.fits)
         self.users.desk.reason = self.placers.reason
+        self.orders = Orders(self.node, self.membership, self.ledger)
 
     def step(self, clock: Clock, events: list[Event]) -> list[Effect]:
         """Take in a batch of events and say what is to be done."""
         node = self.node
         node.now, node.wall = clock.steady, clock.wall
+        if node.panel is not None:
+            node.panel.begin(clock.wall)
         for event in events:
             try:
                 self._take(event)
@@ -52,6 +56,7 @@
         self._follow_epoch()
         self.consent.tick()
         self.users.tick()
+        self.orders.tick()
         self.keeper.tick()
         self.fleet.tick()
         self.ledger.ends.tell()
@@ -94,6 +99,10 @@
             self.keeper.visits.hears(asked)
         elif asked.verb is Verb.CONSENT:
             self.consent.asked(asked)
+        elif asked.verb is Verb.CORDONS:
+            self.orders.show(asked)
+        elif asked.verb is Verb.CORDON:
+            self.orders.asked(asked)
         elif asked.verb is Verb.VIEW:
             self.node.reply(asked.number, 200, encode(self.view()))
         else:
@@ -108,7 +117,7 @@
         """This controller's own view, for operators; no jobs in it."""
         epoch = self.membership.epoch
         machines = [name for name, record in self.node.picture.machines.items() if record.use is not MachineUse.GONE]
-        return {
+        view: dict[str, Any] = {
             "name": self.node.name,
             "healthy": self.healthy(),
             "role": "leader" if self.membership.leads() else "member" if self.membership.entitled() else "outside",
@@ -125,3 +134,9 @@
             },
             "queues": {**self.users.queue_lengths(), "exits": len(self.ledger.exits)},
         }
+        panel = self.node.panel
+        if panel is not None:
+            view["policies"] = {
+                name: {"asked": panel.asked[name], "rounds_not_heard": panel.dropped[name]} for name in panel.policies
+            }
+        return view
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gladecroft.bookkeeping.job import Job
-from gladecroft.bookkeeping.records import MachineRecord, MachineUse
+from gladecroft.bookkeeping.records import MachineRecord, MachineSort, MachineUse
 from gladecroft.coordination.fleet.market import Market
 from gladecroft.coordination.fleet.plan import Bin, Plan, Room, Terms, empty_bin
 from gladecroft.coordination.fleet.shrink import Idle, dear_room, fits_elsewhere, to_give_back
@@ -18,6 +18,7 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers import MOVED, Placers
+from gladecroft.policies.seam import Demand
 from gladecroft.protocol.wire import Kind
 
 log = logging.getLogger(__name__)
@@ -74,7 +75,7 @@
             kind = placers.types.get(booking.sort[0])
             if kind is not None:
                 bins += [empty_bin(booking.sort, kind) for _ in range(booking.count)]
-        waiting = list(self.picture.queued.values())
+        waiting = placers.waiting()
         dear_cpus = self._dear_room(bins)
         placers.floor.refresh(guaranteed)
         # Only bins that can still hold something are looked through.
@@ -83,6 +84,10 @@
         pressing = placers.queue.pressing(guaranteed)
         for job in placers.queue.order(waiting, pressing):
             plan.fill(job, job.rank <= placers.line or job.id in pressing)
+        if self.node.panel is not None:
+            for demand in self.node.panel.demand():
+                if self._is_time_for(demand):
+                    plan.keep(demand, bins, lambda name, sort: self._shut(name, sort) is not None)
         self.market.rent(plan.want)
         # Machines that waiting work is about to take are not idle.
         self._give_back(now, {bin.machine for bin in bins if bin.machine and bin.taken})
@@ -98,8 +103,27 @@
             self._limit_room,
             self.market.closed(),
             self.market.at_most,
+            None if self.node.panel is None else self._lets,
         )
 
+    def _lets(self, job: Job, machine: str, sort: MachineSort) -> bool:
+        panel = self.node.panel
+        return panel is None or panel.refusal(job, machine, sort) is None
+
+    def _shut(self, machine: str, sort: MachineSort) -> str | None:
+        """Why a policy lets nothing new go to a machine, whatever it is."""
+        return None if self.node.panel is None else self.node.panel.shut(machine, sort)
+
+    def _is_time_for(self, demand: Demand) -> bool:
+        """Whether room that is wanted at an instant must be seen to now: machines take their time to boot."""
+        boots = [
+            kind.boot_s
+            for kind in self.placers.types.values()
+            if demand.type in ("", kind.name) and (not demand.zone or demand.zone in kind.zones)
+        ]
+        lead = timedelta(seconds=1.5 * max(boots, default=0.0)) + 2 * self.node.report + PLAN_EVERY
+        return demand.at - self.node.wall <= lead
+
     # Values for the decisions --------------------------------------------------------------------------------
 
     def _bins(self) -> list[Bin]:
@@ -184,12 +208,14 @@
                 continue
             cpus = self.picture.used_on(name)[0]
             used += cpus
-            free += kind.cpus - cpus
+            # What takes nothing new is no reserve for what comes.
+            room = 0.0 if self._shut(name, (record.type, record.zone, record.spot)) else kind.cpus
+            free += room - cpus if room else 0.0
             if self.picture.residents(name) or name in needed:
                 self._idle_since.pop(name, None)
                 continue
             since = self._idle_since.setdefault(name, now)
-            idle.append(Idle(self._price(record), name, now - since, kind.cpus))
+            idle.append(Idle(self._price(record), name, now - since, room))
         operator = self.node.operator
         chosen = to_give_back(
             idle,
@@ -240,7 +266,11 @@
             return
         for name, residents in self._least_used():
             record = self.picture.machines[name]
-            bins = [bin for bin in self._bins() if bin.machine and bin.machine != name]
+            bins = [
+                bin
+                for bin in self._bins()
+                if bin.machine and bin.machine != name and not self._shut(bin.machine, bin.sort)
+            ]
             reserve = self.node.operator.machine_reserve * self._used_cpus()
             if fits_elsewhere(record.zone, residents, bins, reserve, self.placers.allowed, self.placers.zone_room):
                 log.info("%s is little used: emptying it", name)
--- a/src/gladecroft/coordination/fleet/plan.py
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineSort
+from gladecroft.policies.seam import Demand
 from gladecroft.protocol.wire import JobSpec, MachineType
 
 #: A kind is dear for a job if a core costs that many times as much as on the cheapest kind it allows.
 DEAR = 1.6
+#: At most so many machines are rented in one round for a demand: a policy may be wrong by orders of magnitude.
+KEEP_MOST = 100
 
 
 class Bin:
@@ -91,6 +94,8 @@
     #: Sorts that are not asked for now, and how many of others at the most.
     closed: Collection[MachineSort] = ()
     at_most: Mapping[MachineSort, int] = field(default_factory=dict)
+    #: Whether policies let the job go to a machine (no name: to one that is rented); None: there are no policies.
+    lets: Callable[[Job, str, MachineSort], bool] | None = None
 
 
 @dataclass
@@ -142,6 +147,8 @@
                 continue
             used_up = False
             for bin in bins:
+                if self.terms.lets is not None and not self.terms.lets(job, bin.machine, sort):
+                    continue
                 count = min(left, bin.holds(job), cap - zones.get(sort[1], 0))
                 if bin.high and not everywhere and spec.cpus > 0:
                     # The placers keep a reserve there, so it is no room for this job here either.
@@ -168,6 +175,7 @@
             for zone in kind.zones
             for spot in (True, False)
             if terms.allowed(spec, kind.name, zone, spot)
+            and (terms.lets is None or terms.lets(job, "", (kind.name, zone, spot)))
         ]
         cheapest = min((core_price(kind, spot, spec) for kind, _, spot in sorts), default=0.0)
         options: list[tuple[float, MachineType, str, bool]] = []
@@ -190,3 +198,34 @@
         if price > DEAR * cheapest:
             self.dear_cpus -= machine.cpus
         return machine.name, zone, spot
+
+    def keep(self, demand: Demand, bins: Iterable[Bin], shut: Callable[[str, MachineSort], bool]) -> None:
+        """See to room that is wanted at an instant: keep bins that are free for it, and rent what is missing, cheapest
+        cores first. ``shut``: machines that take nothing new are no room."""
+        missing = demand.cpus
+        left = KEEP_MOST
+
+        def suits(sort: MachineSort) -> bool:
+            return demand.type in ("", sort[0]) and demand.zone in ("", sort[1])
+
+        for bin in bins:
+            if missing <= 1e-6:
+                return
+            if bin.cpus > 1e-6 and suits(bin.sort) and not shut(bin.machine, bin.sort):
+                missing -= bin.cpus
+                bin.taken = True
+        prices: list[tuple[float, int, str, MachineSort]] = []
+        for kind in self.terms.types.values():
+            for zone in kind.zones:
+                for spot in (True, False):
+                    sort = (kind.name, zone, spot)
+                    if suits(sort) and sort not in self.terms.closed and not shut("", sort):
+                        price = (kind.spot_price if spot else kind.price) / max(kind.cpus, 1e-9)
+                        prices.append((round(price, 4), self.in_zone.get(zone, 0), zone, sort))
+        for _, _, _, sort in sorted(prices):
+            most = self.terms.at_most.get(sort)
+            while left > 0 and missing > 1e-6 and (most is None or self.want.get(sort, 0) < most):
+                left -= 1
+                self.want[sort] = self.want.get(sort, 0) + 1
+                self.in_zone[sort[1]] = self.in_zone.get(sort[1], 0) + 1
+                missing -= max(self.terms.types[sort[0]].cpus, 1e-9)
--- a/src/gladecroft/coordination/ledger/ledger.py
+++ b/src/gladecroft/coordination/ledger/ledger.py
@@ -29,6 +29,16 @@
 FLUSH_IDLE = timedelta(milliseconds=400)
 LEFT_FOR_USERS = 2
 WEIGH_EVERY = timedelta(seconds=2)
+#: How long a policy's record waits for a change that nobody else wants.
+POLICY_PATIENCE = timedelta(seconds=3)
+
+
+class PolicyPut(msgspec.Struct, eq=False):
+    """A policy's record as it is to be (None: not at all); ``done`` is called once it is committed."""
+
+    value: bytes | None
+    since: timedelta
+    done: Callable[[], None]
 
 
 class Ledger:
@@ -41,6 +51,8 @@
         self.exit = self.ends.exit
         self.closing = Closing(node, membership, self.ends)
         self.machine_puts: dict[str, rec.MachineRecord | None] = {}
+        #: What policies' records are to be: last in line for the changes, unless they have waited for long.
+        self.policy_puts: dict[str, PolicyPut] = {}
         #: Teams for which a placement is under way of which nobody knows whether it was executed.
         self.unsure: set[str] = set()
         #: Composers add what they want to a change; they run after exits, in order.
@@ -110,11 +122,13 @@
         self._compose_machines(change, change.max_ops // 2 if self.picture.queued else 0)
         self.closing.finals(change)
         self.ends.compose_mail(change, self.machine_puts)
+        self._compose_policies(change, POLICY_PATIENCE, 1)
         for composer in self.composers:
             composer(change)
         self.closing.done(change, ends)
         self._was_full = not change.room(1, 0)
         self.closing.orphans(change)
+        self._compose_policies(change, timedelta(), len(self.policy_puts))
         if change.finish():
             self._commit(change)
 
@@ -188,6 +202,17 @@
 
     # The lane -----------------------------------------------------------------------------------------------
 
+    def _compose_policies(self, change: Change, age: timedelta, most: int) -> None:
+        """Work policies' records in that have waited for at least so long. In an overload transactions are always full:
+        one record a transaction then goes before placing, never before what keeps running work safe."""
+        for key, put in self.policy_puts.items():
+            if most <= 0 or not change.room(1, 0):
+                return
+            if key not in change.puts and self.node.now - put.since >= age:
+                change.require(key)
+                change.puts[key] = put.value
+                most -= 1
+
     def _commit(self, change: Change) -> None:
         node = self.node
         ops: list[wire.Put | wire.Delete] = [
@@ -207,6 +232,10 @@
                 self.unsure -= change.claims
                 for key, value in change.puts.items():
                     self.picture.apply(key, value, revision)
+                    put = self.policy_puts.get(key)
+                    if put is not None and put.value == value:
+                        del self.policy_puts[key]
+                        put.done()
                 if log.isEnabledFor(logging.INFO):
                     for note in change.notes:
                         log.info("%s", note)
--- a/src/gladecroft/coordination/messages.py
+++ b/src/gladecroft/coordination/messages.py
@@ -17,6 +17,9 @@
     HEALTH = "health"
     REPORT = "report"
     VIEW = "view"
+    #: An operator asks for the cordons, or sets or lifts one.
+    CORDONS = "cordons"
+    CORDON = "cordon"
     #: A sibling tells of attempts that are proven gone.
     ENDED = "ended"
     #: A sibling tells of machines that have reported to it.
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -9,6 +9,7 @@
 
 from gladecroft.bookkeeping.picture import Picture
 from gladecroft.coordination.messages import Call, Effect, Reply, Target
+from gladecroft.policies import Panel, switched_on
 from gladecroft.protocol.settings import DRIFT, Operator, Platform, member_ttl
 from gladecroft.protocol.wire import Refusal, encode
 
@@ -73,6 +74,10 @@
         self.lease = timedelta(seconds=self.cluster.workers.lease_s)
         self.report = timedelta(seconds=self.cluster.workers.report_s)
         self.picture = Picture(self.cluster.teams, self.cluster.state.value_kb)
+        #: The policies that are switched on, as one; None: none is.
+        self.panel: Panel | None = switched_on(operator.policy_names())
+        if self.panel is not None:
+            self.picture.policy_news, self.picture.policy_reset = self.panel.take, self.panel.forget
         self.loaded = False
         self.state_ok_at: timedelta | None = None
         self.state_bad_since: timedelta | None = None
--- a/src/gladecroft/coordination/placers/floor.py
+++ b/src/gladecroft/coordination/placers/floor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from datetime import timedelta
 
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineSort, MachineUse, TaskRecord, TaskState
@@ -11,6 +12,7 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers.placement import Resident, Slot
+from gladecroft.policies import Panel
 from gladecroft.protocol.wire import JobSpec, Kind, MachineType
 
 
@@ -29,6 +31,9 @@
         self.groups: dict[MachineSort, dict[str, Slot]] = {}
         self._sorts: dict[str, MachineSort] = {}
         self._images: dict[str, dict[str, None]] = {}
+        self.panel = node.panel
+        #: Why machines were last refused to a job by a policy, in this round.
+        self.refusals: dict[str, str] = {}
         self._looked = 0
 
     def all_stale(self) -> None:
@@ -41,6 +46,7 @@
 
     def refresh(self, guaranteed: set[str]) -> None:
         """Bring the slots of machines up to date that have changed or that the last round planned on."""
+        self.refusals.clear()
         stale, self.picture.stale = self.picture.stale, set()
         self._looked += len(stale)
         for name in sorted(stale):
@@ -131,8 +137,30 @@
             and (spec.spot or not spot)
         )
 
-    def usable(self, spec: JobSpec) -> Iterator[Slot]:
-        """The slots of the sorts of machine that the job allows."""
+    def usable(self, job: Job) -> Iterator[Slot]:
+        """The slots of the sorts of machine that the job allows, less those that a policy refuses it."""
         for sort, group in self.groups.items():
-            if self.allowed(spec, *sort):
-                yield from group.values()
+            if self.allowed(job.spec, *sort):
+                if self.panel is None:
+                    yield from group.values()
+                else:
+                    yield from (slot for slot in group.values() if self._agreed(self.panel, job, slot, sort))
+
+    def _agreed(self, panel: Panel, job: Job, slot: Slot, sort: MachineSort) -> bool:
+        why = panel.refusal(job, slot.machine, sort) or self._drained(panel, job, slot.machine, sort)
+        if why is not None:
+            self.refusals[job.id] = why
+            return False
+        slot.tie = panel.score(job, slot.machine, sort)
+        return True
+
+    @staticmethod
+    def _drained(panel: Panel, job: Job, machine: str, sort: MachineSort) -> str | None:
+        """A machine that is to be empty by an instant takes only what will have ended then."""
+        drain = panel.drain(machine, sort)
+        if drain is None:
+            return None
+        ends = panel.now + timedelta(seconds=job.spec.estimate_s)
+        if job.spec.kind is Kind.ARRAY and job.spec.estimate_s > 0 and ends <= drain.by - drain.grace:
+            return None
+        return f"{drain.why}; to be empty by {drain.by:%Y-%m-%d %H:%M:%S} UTC"
--- a/src/gladecroft/coordination/placers/gangs.py
+++ b/src/gladecroft/coordination/placers/gangs.py
@@ -48,7 +48,7 @@
             return 0
         need = need_of(job, inside, home)
         slots = self.floor.slots
-        usable = list(self.floor.usable(job.spec))
+        usable = list(self.floor.usable(job))
         kept = {slot.machine: slot.room() for slot in usable}
         offers, pending = self._gang_offers(job, need, len(tasks), usable)
         for offer in offers:
@@ -70,7 +70,7 @@
             self.waits[job.id] = "waiting for evicted work to stop"
             victims = [victim for offer in offers for victim in offer.victims]
             stopped = sum(
-                self.stops.stop_with_gang(change, self.picture.jobs[victim.job], victim.number, job.id)
+                self.stops.stop_with_gang(change, self.picture.jobs[victim.job], victim.number, f"evicted for {job.id}")
                 for victim in victims
             )
             if stopped:
--- a/src/gladecroft/coordination/placers/placement.py
+++ b/src/gladecroft/coordination/placers/placement.py
@@ -68,6 +68,8 @@
     coming_memory: float = 0.0
     #: What residents outside their guarantee hold: the most that evictions could bring.
     borrowed_cpus: float = 0.0
+    #: What policies make of the machine for the job at hand: it decides between machines that are otherwise equal.
+    tie: float = 0.0
 
     def count(self, line: int) -> None:
         """Work out what is free, what stopping tasks will free, and the core use of high-priority work."""
@@ -181,7 +183,7 @@
     @staticmethod
     def rank(need: Need, slot: Slot) -> tuple[Any, ...]:
         """Its own part first, then by the core use of high-priority work, busiest first."""
-        return slot.owner != need.home, -slot.high_cpus, slot.machine
+        return slot.owner != need.home, -slot.high_cpus, slot.tie, slot.machine
 
     def offers(self, need: Need, slots: list[Slot]) -> list[Offer]:
         offers: list[Offer] = []
@@ -220,6 +222,7 @@
             slot.owner != need.home,
             need.image not in slot.images,
             slot.free_cpus,
+            slot.tie,
             slot.machine,
         )
 
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -46,6 +46,8 @@
         self._retry: dict[tuple[str, int, int], timedelta] = {}
         #: Needs for which this round has found no room, by what kind of room it looked for.
         self._no_room: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
+        #: What a policy refused when no room was found.
+        self._no_room_why: dict[tuple[object, ...], str] = {}
         #: Cores on machines with high-priority work that low-priority work may still take in this round.
         self._spare = 0.0
         ledger.composers.append(self.stops.drain)
@@ -81,13 +83,14 @@
         if len(self.waits) > 2 * len(self.picture.queued) + 100:
             for name in [name for name in self.waits if name not in self.picture.queued]:
                 del self.waits[name]
-        waiting = list(self.picture.queued.values())
+        waiting = self.waiting()
         homes = {job.id: self.membership.job_home(job.spec) or "" for job in waiting}
         if me not in homes.values():
             return
         guaranteed = self.picture.guaranteed()
         self.floor.refresh(guaranteed)
         self._no_room.clear()
+        self._no_room_why.clear()
         self._spare = self.spare_cpus()
         most = MOST_PER_ROUND
         pressing = self.queue.pressing(guaranteed)
@@ -98,6 +101,20 @@
             if most <= 0 or not change.room(1, 0):
                 break
 
+    def waiting(self) -> list[Job]:
+        """The jobs with tasks that may start, as far as no policy holds them."""
+        panel = self.node.panel
+        if panel is None or not panel.holds():
+            return list(self.picture.queued.values())
+        free: list[Job] = []
+        for job in self.picture.queued.values():
+            why = panel.hold(job)
+            if why is None:
+                free.append(job)
+            elif self.membership.job_home(job.spec) == self.node.name:
+                self.waits[job.id] = why
+        return free
+
     def spare_cpus(self) -> float:
         """What is free on machines with high-priority work, less a reserve for more of that.
 
@@ -131,7 +148,7 @@
         high = need.rank <= self.floor.line
         kept_out = not high and not inside and self._spare < need.cpus
         taken = evicted = 0
-        where = (
+        where: tuple[object, ...] = (
             tuple(spec.types) if spec.types is not None else None,
             spec.zone,
             spec.spot,
@@ -139,12 +156,16 @@
             tuple(sorted(zone for zone, count in zones.items() if count >= cap)) if spec.spread else (),
             high or inside,
         )
+        if self.node.panel is not None and self.node.panel.by_job():
+            where = (*where, job.id)  # what is no room for one job may be room for another
         push = (*where, need.rank, need.guaranteed, need.team)
         ranking: Ranking | None = None
         usable: list[Slot] = []
         if room > 0 and not spec.one_zone and self._lacks_room(where, need) and self._lacks_room(push, need):
             room = 0
             why = "no machine has room"
+            if where in self._no_room_why:
+                self.floor.refusals.setdefault(job.id, self._no_room_why[where])
         for number in job.queued_tasks():
             if taken >= room:
                 why = why or "the team's limit is used up"
@@ -153,7 +174,7 @@
             if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
                 continue
             if ranking is None:
-                usable = list(self.floor.usable(spec))
+                usable = list(self.floor.usable(job))
                 if spec.one_zone:
                     usable = one_zone(usable, zones)
                 elif spec.spread:
@@ -166,6 +187,8 @@
                 if usable and not spec.one_zone and not (spec.spread and taken):
                     for key in (where, push):
                         self._no_room.setdefault(key, []).append((need.cpus, need.gpus, need.memory_gb))
+                    if job.id in self.floor.refusals:
+                        self._no_room_why[where] = self.floor.refusals[job.id]
                 why = "no machine has room" if usable else "no allowed machine is up"
                 break
             slot = offer.slot
@@ -199,7 +222,8 @@
             if not claimed:
                 why = why or "about to be placed"
             if why:
-                self.waits[job.id] = why
+                refusal = self.floor.refusals.get(job.id)
+                self.waits[job.id] = why if refusal is None else f"{why}; {refusal}"
             else:
                 self.waits.pop(job.id, None)
             if evicted:
@@ -212,7 +236,11 @@
         slot = offer.slot
         for victim in offer.victims:
             other = self.picture.jobs.get(victim.job)
-            if not ours or other is not None and self.stops.stop_with_gang(change, other, victim.number, job.id):
+            if (
+                not ours
+                or other is not None
+                and self.stops.stop_with_gang(change, other, victim.number, f"evicted for {job.id}")
+            ):
                 slot.free_up(victim)
                 count += 1
         claim(slot, need)
@@ -235,7 +263,9 @@
         """Why a job waits, or why some of its tasks last stopped."""
         parts = []
         if job.queued_count:
-            parts.append(self.waits.get(job.id, "waiting to be placed"))
+            panel = self.node.panel
+            held = panel.hold(job) if panel is not None and panel.holds() else None
+            parts.append(held or self.waits.get(job.id, "waiting to be placed"))
             notes: dict[str, int] = {}
             for chunk in job.chunks.values():
                 for task in chunk:
--- a/src/gladecroft/coordination/placers/stops.py
+++ b/src/gladecroft/coordination/placers/stops.py
@@ -7,12 +7,13 @@
 
 from gladecroft.bookkeeping.change import Change
 from gladecroft.bookkeeping.job import Job
-from gladecroft.bookkeeping.records import MachineUse, TaskRecord, TaskState
+from gladecroft.bookkeeping.records import MachineSort, MachineUse, TaskRecord, TaskState
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers.choice import Chooser, need_of, zone_room
 from gladecroft.coordination.placers.floor import Floor
 from gladecroft.coordination.placers.placement import Offer
+from gladecroft.policies import Panel
 from gladecroft.protocol.wire import Kind
 
 #: Begins the note of a service that makes way, whose machine follows.
@@ -50,6 +51,40 @@
                 if self.membership.job_home(job.spec) == self.node.name:
                     self.stop(change, job, number, f"{why} {name}")
 
+        if self.node.panel is not None and self.node.panel.drains():
+            self._drain_by_policy(change, self.node.panel)
+
+    def _drain_by_policy(self, change: Change, panel: Panel) -> None:
+        """Stop what is still on a machine when it must begin to save, or to go, to leave it empty in time."""
+        for name, sort in self._in_use():
+            drain = panel.drain(name, sort)
+            if drain is None or panel.now < drain.by - drain.grace:
+                continue
+            for (job_name, number), task in list(self.picture.on_machine.get(name, {}).items()):
+                job = self.picture.jobs[job_name]
+                if task.state is not TaskState.ACTIVE or job.cancelled:
+                    continue
+                if self._ends_in_time(job, task, int(drain.by.timestamp())):
+                    continue
+                if self.membership.job_home(job.spec) == self.node.name:
+                    self.stop_with_gang(change, job, number, f"drained {name}")
+
+    def _in_use(self) -> list[tuple[str, MachineSort]]:
+        """The machines with work on them, as far as they are known."""
+        return [
+            (name, (record.type, record.zone, record.spot))
+            for name in self.picture.on_machine
+            if (record := self.picture.machines.get(name)) is not None
+        ]
+
+    def _being_emptied(self) -> list[str]:
+        """The machines whose services are to move elsewhere."""
+        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
+        panel = self.node.panel
+        if panel is not None and panel.drains():
+            emptying += [name for name, sort in self._in_use() if panel.drain(name, sort) and name not in emptying]
+        return emptying
+
     def _ends_in_time(self, job: Job, task: TaskRecord, until_s: int) -> bool:
         """Whether a task that can't save will probably end before its machine is taken. Stopped, it begins anew."""
         now = self.node.wall.timestamp()
@@ -60,7 +95,7 @@
     def move(self, change: Change) -> None:
         """Move our services off machines that are being emptied, a few at a time and only to where there is room."""
         me = self.node.name
-        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
+        emptying = self._being_emptied()
         if not emptying:
             return
         if any(
@@ -100,7 +135,7 @@
         need = need_of(job, inside, self.node.name)
         usable = [
             slot
-            for slot in self.floor.usable(job.spec)
+            for slot in self.floor.usable(job)
             if slot.fits(need) and zones.get(slot.zone, 0) < cap and (not job.spec.one_zone or slot.zone == zone)
         ]
         return self.low.choose(need, self.high.offers(need, usable))
@@ -126,11 +161,11 @@
                     if task.state is TaskState.ACTIVE:
                         self.stop(change, job, number, "gang incomplete")
 
-    def stop_with_gang(self, change: Change, job: Job, number: int, cause: str) -> bool:
-        """Evict a task, and all of its gang with it."""
+    def stop_with_gang(self, change: Change, job: Job, number: int, note: str) -> bool:
+        """Stop a task, and all of its gang with it."""
         if job.spec.kind is not Kind.GANG:
-            return self.stop(change, job, number, f"evicted for {cause}")
+            return self.stop(change, job, number, note)
         stopped = False
         for other, _ in list(job.placed()):
-            stopped |= self.stop(change, job, other, f"evicted for {cause}")
+            stopped |= self.stop(change, job, other, note)
         return stopped
--- /dev/null
+++ b/src/gladecroft/policies/__init__.py
@@ -0,0 +1,21 @@
+"""Advisors to the core: facts in, advice out. Each subject is one module; ``switched_on`` builds those in use."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gladecroft.policies.cordon import Cordon
+from gladecroft.policies.panel import Panel
+from gladecroft.policies.seam import Policy
+
+#: The policies that operators may switch on, by the name in their settings.
+KNOWN: dict[str, type[Policy]] = {Cordon.subject: Cordon}
+
+
+def switched_on(names: Iterable[str]) -> Panel | None:
+    """The panel of these policies; None if there are none, so that the core can tell at one look."""
+    policies = [KNOWN[name]() for name in names]
+    return Panel(policies) if policies else None
+
+
+__all__ = ["KNOWN", "Panel", "Policy", "switched_on"]
--- /dev/null
+++ b/src/gladecroft/policies/cordon.py
@@ -0,0 +1,74 @@
+"""Operators' cordon: machines that take nothing new, by name, type or zone.
+
+What runs there runs on; nothing is moved or stopped. A cordon may have an end. It is kept in the state service, so it
+outlives every controller, and in an outage each goes by what it last knew.
+"""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from hashlib import blake2b
+
+import msgspec
+
+from gladecroft.bookkeeping.job import Job
+from gladecroft.policies.seam import Place, Policy
+from gladecroft.protocol.operators import CordonOrder, Scope
+
+#: So many cordons at the most; one for a whole type or zone does for many machines.
+MOST = 500
+
+
+class CordonRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """``until_s``: when it ends, by the time of day; 0: when an operator lifts it."""
+
+    scope: Scope
+    name: str
+    why: str = ""
+    by: str = ""
+    since_s: int = 0
+    until_s: int = 0
+
+    def over(self, now: datetime) -> bool:
+        return 0 < self.until_s <= now.timestamp()
+
+    def sentence(self) -> str:
+        """Plain words for reasons and views."""
+        end = f" until {datetime.fromtimestamp(self.until_s, UTC):%Y-%m-%d %H:%M:%S} UTC" if self.until_s else ""
+        return f"{self.scope.value} {self.name} takes nothing new{end}" + (f" ({self.why})" if self.why else "")
+
+
+def record_name(scope: Scope, name: str) -> str:
+    """Under what a cordon is kept. Names may hold what a key can't, so their digest stands for them."""
+    return f"{scope.value}.{blake2b(name.encode(), digest_size=12).hexdigest()}"
+
+
+def record_of(order: CordonOrder, now: datetime) -> CordonRecord:
+    return CordonRecord(order.scope, order.name, order.why, order.by, int(now.timestamp()), order.until_s)
+
+
+class Cordon(Policy):
+    subject = "cordon"
+
+    def __init__(self) -> None:
+        self.records: dict[str, CordonRecord] = {}
+        self._by_name: dict[tuple[Scope, str], CordonRecord] = {}
+
+    def take(self, name: str, value: bytes | None) -> None:
+        old = self.records.pop(name, None)
+        if old is not None:
+            self._by_name.pop((old.scope, old.name), None)
+        if value is not None:
+            record = self.records[name] = msgspec.json.decode(value, type=CordonRecord)
+            self._by_name[(record.scope, record.name)] = record
+
+    def forget(self) -> None:
+        self.records.clear()
+        self._by_name.clear()
+
+    def filter(self, job: Job | None, place: Place, now: datetime) -> str | None:
+        for key in ((Scope.MACHINE, place.name), (Scope.TYPE, place.type), (Scope.ZONE, place.zone)):
+            record = self._by_name.get(key)
+            if record is not None and not record.over(now):
+                return record.sentence()
+        return None
--- a/src/gladecroft/protocol/settings.py
+++ b/src/gladecroft/protocol/settings.py
@@ -17,6 +17,9 @@
 NotNegative = Annotated[float, Meta(ge=0.0)]
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 
+#: The policies that there are.
+POLICIES = frozenset({"cordon"})
+
 #: Steady clocks may disagree by this share of a span.
 DRIFT = 0.0005
 
@@ -142,6 +145,11 @@
     machine_idle: Annotated[float, Meta(ge=0.0, le=3600.0)] = 15.0
     machine_consolidate: bool = True
     machine_reserve: Annotated[float, Meta(ge=0.0, le=10.0)] = 0.1
+    #: The policies that are switched on, by name, with commas between.
+    policies: str = ""
+
+    def policy_names(self) -> list[str]:
+        return [name for name in (each.strip() for each in self.policies.split(",")) if name]
 
 
 def split_addr(addr: str, where: str = "address") -> tuple[str, int]:
@@ -197,9 +205,16 @@
         if key not in known:
             raise SettingsError(f"{path}: {key}: unknown setting (known: {', '.join(sorted(known))})")
     try:
-        return msgspec.convert(table, Operator, strict=False)
+        operator = msgspec.convert(table, Operator, strict=False)
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}") from None
+    names = operator.policy_names()
+    for name in names:
+        if name not in POLICIES:
+            raise SettingsError(f"{path}: policies: unknown policy {name!r} (known: {', '.join(sorted(POLICIES))})")
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: policies: a name stands twice")
+    return operator
 
 
 def member_ttl(operator: Operator, platform: Platform) -> timedelta:
--- a/src/gladecroft/service.py
+++ b/src/gladecroft/service.py
@@ -29,7 +29,7 @@
     Watch,
     Watched,
 )
-from gladecroft.protocol import peers, wire
+from gladecroft.protocol import operators, peers, wire
 from gladecroft.protocol.settings import Operator, Platform, split_addr
 from gladecroft.transport.client import Client
 from gladecroft.transport.server import Request, Response, Server
@@ -40,7 +40,6 @@
 WATCH_WAIT = timedelta(seconds=10)
 CONNECT_LIMIT = timedelta(seconds=1)
 ANSWER_LIMIT = timedelta(seconds=4.5)
-VIEW_PATH = "/view"
 SIBLINGS_ASK = {
     peers.ENDED_PATH: Verb.ENDED,
     peers.HEARD_PATH: Verb.HEARD,
@@ -207,7 +206,11 @@
         told = SIBLINGS_ASK.get(path)
         if told is not None:
             return await self._ask(told, request.body) if request.method == "POST" else _wrong_method("POST")
-        if path != VIEW_PATH:
+        if path == operators.CORDONS_PATH:
+            if request.method not in ("GET", "POST"):
+                return _wrong_method("GET, POST")
+            return await self._ask(Verb.CORDONS if request.method == "GET" else Verb.CORDON, request.body)
+        if path != operators.VIEW_PATH:
             return _refusal(404, "no such path")
         return await self._ask(Verb.VIEW) if request.method == "GET" else _wrong_method("GET")
 
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -21,6 +21,7 @@
         self.now = now
         self.broken: list[str] = []
         self.where: dict[Key, dict[str, tuple[str, str, bool]]] = {}
+        self.zones: dict[str, str] = {}
         self.starts: list[tuple[float, Key, str, int]] = []
         self.done: dict[str, set[int]] = {}
         self.told: dict[str, str] = {}
@@ -39,6 +40,7 @@
         """A task has started on a machine."""
         spec = self.jobs[key[0]]
         self.starts.append((self.now(), key, machine, attempt))
+        self.zones[machine] = zone
         others = self.where.setdefault(key, {})
         if any(name != machine for name in others):
             self._break("ran_twice", f"{key} starts on {machine} while on {sorted(others)}")
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -10,10 +10,12 @@
 
 import msgspec
 
+from gladecroft.coordination.messages import Verb
+from gladecroft.protocol import operators
 from gladecroft.protocol.settings import Operator, Platform
 from oracle import Oracle
 from standins import Cloud, Kind, StateService, User, Worker
-from world import Controller, World, seconds
+from world import START, Controller, World, seconds
 
 Json = dict[str, Any]
 Words = dict[str, str]
@@ -53,6 +55,8 @@
         self._up: list[tuple[str, str, bool, int]] = []
         self.failures: list[str] = []
         self.evictions = 0
+        #: The answers to operators' orders.
+        self.orders: list[int] = []
         lines = [line.split("#", 1)[0].strip() for line in text.splitlines()]
         self._lines = [(number, line) for number, line in enumerate(lines, 1) if line]
 
@@ -239,6 +243,13 @@
         elif verb == "never-boot":
             self.cloud.never_boot = float(named["share"])
             self.world.later(span, lambda: setattr(self.cloud, "never_boot", 0.0))
+        elif verb == "cordon":
+            until = int((START + self.world.now + span).timestamp()) if span else 0
+            order = operators.CordonOrder(
+                operators.Scope(plain[1]), plain[2], named.get("why", ""), "", until, named.get("lift") == "yes"
+            )
+            asked = self._controller(named.get("node", "n0"))
+            asked.ask(Verb.CORDON, msgspec.json.encode(order), "", lambda reply: self.orders.append(reply.status))
         elif verb == "ask":
             User(self.world, self.controllers, self.oracle, {"nameId": plain[1]}).poll()
         else:
@@ -300,6 +311,9 @@
             ghosts = sum(1 for row in rows if len(row) > 2 and row[2] and row[2] not in self.cloud.machines)
             ok = _compare(ghosts, plain[1], float(plain[2]))
             what += f" (are {ghosts})"
+        elif plain[0] == "orders":
+            ok = self.orders == [int(status) for status in plain[1:]]
+            what += f" (were {self.orders})"
         elif plain[0] == "epoch":
             number = self.state.keys["g/epoch"][0]["number"]
             ok = _compare(number, plain[1], float(plain[2]))
@@ -334,6 +348,8 @@
                 return _compare(here, plain[1], float(plain[2]))
             case "started":
                 return len(starts) >= self.jobs[name]["portions"] and starts[-1][0] <= float(named["by"])
+            case "zone":
+                return {self.oracle.zones[start[2]] for start in starts} == {plain[1]}
             case "reason":
                 return plain[1] in user.last_reason
             case "machines":
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -145,7 +145,7 @@
                 },
                 Platform,
             )
-            group.start_soon(Service(platform, Operator()).run)
+            group.start_soon(Service(platform, Operator(policies="cordon")).run)
             while (await bridge.to_node("GET", "/healthz")).status != 200:
                 await anyio.sleep(0.05)
             await check_refusals(bridge)
@@ -164,6 +164,7 @@
             assert msgspec.json.decode(answer.body)["status"] == "done"
             assert bridge.oracle.broken == []
             await check_status_command(bridge.node_port, peer_port)
+            await check_cordon_command(peer_port)
             group.cancel_scope.cancel()
 
 
@@ -201,5 +202,32 @@
     assert code == 1
 
 
+async def check_cordon_command(peer_port: int) -> None:
+    def run(*args: str, port: int = peer_port) -> tuple[int, str]:
+        result = CliRunner().invoke(main, ["cordon", *args, "--node", f"127.0.0.1:{port}", "--wait", "5"])
+        return result.exit_code, result.output
+
+    async def step(*args: str, port: int = peer_port) -> tuple[int, str]:
+        return await anyio.to_thread.run_sync(lambda: run(*args, port=port))
+
+    code, text = await step("set", "zone", "a", "--why", "disks", "--until", "2100-01-01 06:00 UTC")
+    assert (code, text) == (0, "zone a takes nothing new until 2100-01-01 06:00:00 UTC\n")
+    code, text = await step("list")
+    assert code == 0 and text.startswith("zone a: 1 machine until 2100-01-01 06:00:00 UTC (disks")
+    code, text = await step("list", "--json")
+    assert code == 0 and [each["name"] for each in msgspec.json.decode(text)["cordons"]] == ["a"]
+    assert (await step("lift", "zone", "a"))[0] == 0
+    assert await step("list") == (0, "no cordons\n")
+    for code, args in (
+        (1, ("lift", "zone", "a")),
+        (2, ("set", "rack", "a")),
+        (2, ("set", "zone", "a", "--for", "2 fortnights")),
+        (2, ("set", "zone", "a", "--for", "2h", "--until", "18:00")),
+        (2, ("set", "zone", "a", "--until", "1999-01-01")),
+        (2, ("set", "zone", "x" * 201)),
+    ):
+        assert (await step(*args))[0] == code, args
+
+
 def test_a_job_from_submission_to_done() -> None:
     anyio.run(play, backend_options={"use_uvloop": True})
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -23,8 +23,8 @@
 class Rig:
     """A core that owns one machine with one placed task, and a model of that machine's worker."""
 
-    def __init__(self) -> None:
-        self.core = Core(msgspec.convert(PLATFORM, Platform), Operator())
+    def __init__(self, operator: Operator | None = None) -> None:
+        self.core = Core(msgspec.convert(PLATFORM, Platform), operator or Operator())
         self.core.node.loaded = True
         self.core.membership.lease = self.core.membership.incarnation = 7
         self.revision = 10
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,385 @@
+"""What the seam lets policies say, and that nothing they say, or fail to say, ends a controller or breaks a rule."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from gladecroft import policies
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.change import Change
+from gladecroft.bookkeeping.job import Job
+from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Verb
+from gladecroft.coordination.placers.placement import HighPlacer, LowSide, Ranking
+from gladecroft.policies.panel import Panel
+from gladecroft.policies.seam import Demand, Drain, Hold, Place, Policy
+from gladecroft.protocol import operators, wire
+from gladecroft.protocol.operators import CordonOrder, Scope
+from gladecroft.protocol.settings import Operator, SettingsError, load_operator
+from runner import Scenario
+from test_epochs import clock
+from test_fencing import SPEC, Rig
+from test_placement import need, resident, slot
+from world import START, seconds
+
+#: The instant of a scenario's beginning, by the wall.
+ZERO = START + seconds(1000)
+DAY = """
+set policies={policies}
+team t cpus=16 max=64
+team u cpus=0 max=64
+type g16 cpus=16 memory=64 boot=15
+up g16 count=2
+at 1 submit wk-1 team=u tasks=12 cpus=4 memory=2 run=30 checkpoint=5 save=2
+at 20 submit wk-2 team=t kind=service tasks=4 cpus=4 memory=2
+at 30 crash leader for=2
+run 150
+"""
+SORT = ("g16", "a", False)
+Switch = Callable[[type[Policy]], type[Policy]]
+
+
+def at(offset: float) -> datetime:
+    return ZERO + seconds(offset)
+
+
+@pytest.fixture
+def switch(monkeypatch: pytest.MonkeyPatch) -> Switch:
+    """Makes a policy's class known under its subject."""
+
+    def known(kind: type[Policy]) -> type[Policy]:
+        monkeypatch.setitem(policies.KNOWN, kind.subject, kind)
+        return kind
+
+    return known
+
+
+class Silent(Policy):
+    """Asked everything, it says nothing."""
+
+    subject = "silent"
+    by_job = True
+
+    def hold(self, job: Job, now: datetime) -> Hold | None:
+        return None
+
+    def filter(self, job: Job | None, place: Place, now: datetime) -> str | None:
+        return None
+
+    def score(self, job: Job, place: Place, now: datetime) -> float:
+        return 0.0
+
+    def demand(self, now: datetime) -> list[Demand]:
+        return []
+
+    def drain(self, place: Place, now: datetime) -> Drain | None:
+        return None
+
+
+def calls_of(text: str) -> list[tuple[str, str, str, bytes]]:
+    scenario = Scenario(text, 3)
+    calls: list[tuple[str, str, str, bytes]] = []
+    scenario.run()
+    assert scenario.oracle.broken == []
+    calls += [(str(at), str(key), machine, b"") for at, key, machine, _ in scenario.oracle.starts]
+    calls += [(key, str(entry[1]), "", msgspec.json.encode(entry[0])) for key, entry in scenario.state.keys.items()]
+    return [*calls, (str(scenario.state.revision), str(scenario.cloud.rentals), "", b"")]
+
+
+def test_without_policies_nobody_is_asked_and_with_silent_ones_all_goes_as_without(
+    switch: Switch, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    switch(Silent)
+    asked: list[str] = []
+    question = Panel._ask
+
+    def counted(panel: Panel, policy: Policy, *rest: Any) -> Any:
+        asked.append(policy.subject)
+        return question(panel, policy, *rest)
+
+    monkeypatch.setattr(Panel, "_ask", counted)
+    without = calls_of(DAY.format(policies=""))
+    assert not asked
+    assert calls_of(DAY.format(policies="silent")) == without
+    assert len(asked) > 1000
+    assert not [name for name, *_ in without if name.startswith(rec.POLICIES)]
+
+
+def test_a_policy_that_fails_at_everything_ends_nothing(switch: Switch) -> None:
+    class Broken(Silent):
+        subject = "broken"
+
+        def hold(self, job: Job, now: datetime) -> Hold | None:
+            raise KeyError("no such tariff")
+
+        def demand(self, now: datetime) -> list[Demand]:
+            return None  # type: ignore[return-value]
+
+        def filter(self, job: Job | None, place: Place, now: datetime) -> str | None:
+            raise ZeroDivisionError
+
+        def take(self, name: str, value: bytes | None) -> None:
+            raise ValueError("not a record of ours")
+
+    switch(Broken)
+    scenario = Scenario(DAY.format(policies="broken"), 3).run()
+    assert scenario.oracle.broken == []
+    assert scenario.oracle.told["wk-1"] == "done"
+    panels = [each.core.node.panel for each in scenario.controllers if each.core is not None]
+    panel = max((each for each in panels if each is not None), key=lambda each: each.dropped["broken"])
+    assert panel.dropped["broken"] > 50
+    before = panel.dropped["broken"]
+    panel.take("broken", "x", b"?")
+    assert panel.dropped["broken"] == before + 1
+
+
+def test_a_policy_that_takes_too_long_is_not_heard_for_the_rest_of_the_round() -> None:
+    at_s = [0.0]
+
+    class Slow(Policy):
+        subject = "slow"
+
+        def filter(self, job: Job | None, place: Place, now: datetime) -> str | None:
+            at_s[0] += 0.004
+            return "never"
+
+    panel = Panel([Slow()], watch=lambda: at_s[0], round_time=timedelta(milliseconds=10))
+    panel.begin(at(0))
+    said = [panel.shut(f"m-{number}", SORT) for number in range(6)]
+    assert said == ["slow: never"] * 3 + [None] * 3
+    assert panel.asked["slow"] == 3 and panel.dropped["slow"] == 1
+    panel.begin(at(1))
+    assert panel.shut("m-5", SORT) == "slow: never"
+
+
+def test_what_several_say_is_combined() -> None:
+    class One(Silent):
+        subject = "one"
+        until, cpus, by, barred = 10.0, 8.0, 50.0, "m-1"
+
+        def hold(self, job: Job, now: datetime) -> Hold | None:
+            return Hold(at(self.until), self.subject)
+
+        def demand(self, now: datetime) -> list[Demand]:
+            return [Demand(self.cpus, at(5), "g16"), Demand(1.0, at(5), "", self.subject)]
+
+        def drain(self, place: Place, now: datetime) -> Drain | None:
+            return Drain(at(self.by), timedelta(), "disks")
+
+        def filter(self, job: Job | None, place: Place, now: datetime) -> str | None:
+            return "barred" if place.name == self.barred else None
+
+    class Other(One):
+        subject = "other"
+        until, cpus, by, barred = 20.0, 4.0, 40.0, "m-2"
+
+    job = Job(rec.JobRecord(SPEC, 0), 1, 10)
+    panel = Panel([One(), Other()])
+    panel.begin(at(0))
+    assert (panel.hold(job) or "").startswith("other: other; at the latest")
+    assert {(each.type, each.zone): each.cpus for each in panel.demand()} == {
+        ("g16", ""): 8.0, ("", "one"): 1.0, ("", "other"): 1.0
+    }  # fmt: skip
+    drain = panel.drain("m-3", SORT)
+    assert drain is not None and drain.by == at(40) and drain.why == "other: disks"
+    assert [panel.refusal(job, name, SORT) for name in ("m-1", "m-2", "m-3")] == ["one: barred", "other: barred", None]
+    panel.begin(at(30))
+    assert panel.hold(job) is None  # a hold that is over holds nobody
+
+
+def test_a_held_job_starts_when_the_hold_ends_and_its_user_is_told_why(switch: Switch) -> None:
+    class Held(Policy):
+        subject = "held"
+
+        def hold(self, job: Job, now: datetime) -> Hold | None:
+            return Hold(at(60), "power is dear") if job.id == "wk-1" else None
+
+    switch(Held)
+    scenario = Scenario(DAY.format(policies="held").replace("run 150", "run 50"), 3).run()
+    assert not [start for start in scenario.oracle.starts if start[1][0] == "wk-1"]
+    assert scenario.users["wk-1"].last_reason.startswith("held: power is dear; at the latest 2026-01-01 00:17:40 UTC")
+    assert len(scenario.cloud.machines) <= 2  # nothing is rented for what may not start
+    scenario.world.run_until(seconds(150))
+    assert [start[0] for start in scenario.oracle.starts if start[1][0] == "wk-1"][0] >= 60
+    assert scenario.oracle.told["wk-1"] == "done" and scenario.oracle.broken == []
+
+
+def test_room_that_is_demanded_is_there_in_time_and_goes_when_it_is_not_wanted(switch: Switch) -> None:
+    class Market(Policy):
+        subject = "opening"
+
+        def demand(self, now: datetime) -> list[Demand]:
+            return [Demand(40.0, at(100), "", "b")] if now < at(140) else []
+
+    switch(Market)
+    scenario = Scenario("set policies=opening\nteam t cpus=16 max=64\ntype g16 cpus=16 memory=64 boot=15\nrun 60", 3)
+    scenario.run()
+    assert scenario.cloud.rentals == 0
+    scenario.world.run_until(seconds(100))
+    there = [worker.zone for worker in scenario.cloud.machines.values() if worker.up]
+    assert there == ["b"] * 3
+    scenario.world.run_until(seconds(138))
+    assert len(scenario.cloud.machines) == 3
+    scenario.world.run_until(seconds(180))
+    assert len(scenario.cloud.machines) == 0
+
+
+def test_a_machine_is_empty_by_the_instant_it_is_to_be_drained(switch: Switch) -> None:
+    class Disks(Policy):
+        subject = "disks"
+
+        def drain(self, place: Place, now: datetime) -> Drain | None:
+            soon = place.name == "m-000001" and now >= at(30)
+            return Drain(at(90), timedelta(seconds=20), "new disks") if soon else None
+
+    switch(Disks)
+    scenario = Scenario(
+        """
+set policies=disks
+team t cpus=64 max=64
+type g16 cpus=16 memory=64 boot=15 count=0 spot=0
+up g16 count=2
+at 5 submit wk-1 team=t kind=service tasks=2 cpus=4 memory=1 spread=yes zone=a
+at 6 submit wk-2 team=t tasks=2 cpus=6 memory=1 run=200 checkpoint=5 save=4
+at 32 submit wk-3 team=t tasks=2 cpus=2 memory=1 run=20
+run 90
+""",
+        3,
+    ).run()
+    there = {key for key, places in scenario.oracle.where.items() if "m-000001" in places}
+    assert there == set()
+    assert scenario.oracle.broken == []
+    # What could end in time was let run; services had moved before what was left had to stop.
+    assert scenario.oracle.told["wk-3"] == "done"
+    late = [start for start in scenario.oracle.starts if start[2] == "m-000001" and start[0] > 32]
+    assert {start[1][0] for start in late} <= {"wk-3"}
+
+
+def test_a_score_decides_only_between_equals(switch: Switch) -> None:
+    class Last(Policy):
+        subject = "last"
+
+        def score(self, job: Job, place: Place, now: datetime) -> float:
+            return -float(place.name[-1])
+
+    switch(Last)
+    text = (
+        "nodes 1\nset policies={}\nteam t cpus=64 max=64\ntype g16 cpus=16 memory=64\nup g16 count=3\n"
+        "at 5 submit wk-1 team=t tasks=1 cpus=4 memory=1 run=30\nrun 15"
+    )
+    starts = [Scenario(text.format(names), 3).run().oracle.starts for names in ("", "last")]
+    assert [start[0][2] for start in starts] == ["m-000001", "m-000003"]
+    for kind in (HighPlacer, LowSide):
+        fuller, first, second = slot("m-1", resident(1, 4, 2)), slot("m-2"), slot("m-3")
+        fuller.tie, first.tie, second.tie = 9.0, 5.0, 1.0
+        if kind is HighPlacer:
+            fuller.high_cpus = 4.0
+        order = [each.machine for each in Ranking(need(2), [first, second, fuller], kind.rank)]
+        assert order == ["m-1", "m-3", "m-2"]
+
+
+# Cordons --------------------------------------------------------------------------------------------------------
+
+
+def rig() -> Rig:
+    made = Rig(Operator(policies="cordon"))
+    made.core.membership._last_renewal = clock(100_000).steady
+    made.core.node.state_ok_at = clock(100).steady
+    return made
+
+
+def order(made: Rig, number: int, wanted: CordonOrder) -> list[object]:
+    made.at += 0.6
+    return list(made.core.step(clock(made.at), [Asked(number, Verb.CORDON, msgspec.json.encode(wanted))]))
+
+
+def commits(effects: list[object]) -> list[Call]:
+    return [each for each in effects if isinstance(each, Call) and b"g/q/cordon" in (each.body or b"")]
+
+
+def test_an_order_is_answered_after_its_commit_and_read_back_if_the_outcome_is_not_known() -> None:
+    made = rig()
+    effects = order(made, 5, CordonOrder(Scope.ZONE, "a", "disks"))
+    (commit,) = commits(effects)
+    assert b'"g/epoch"' in (commit.body or b"")
+    assert not [each for each in effects if isinstance(each, Reply)]
+    effects = list(made.core.step(clock(made.at + 0.1), [Answered(commit.number, 0)]))
+    reads = [each for each in effects if isinstance(each, Call) and each.method == "GET" and "cordon" in each.path]
+    assert len(reads) == 1 and not [each for each in effects if isinstance(each, Reply)]
+    # It was not executed: it is committed anew.
+    effects = list(
+        made.core.step(clock(made.at + 0.2), [Answered(reads[0].number, 404, wire.encode(wire.Missing(99)))])
+    )
+    made.at += 0.5
+    effects += made.core.step(clock(made.at), [])
+    (commit,) = commits(effects)
+    effects = list(
+        made.core.step(clock(made.at + 0.1), [Answered(commit.number, 200, wire.encode(wire.TxnReply(100)))])
+    )
+    assert [each.status for each in effects if isinstance(each, Reply)] == [200]
+    panel = made.core.node.panel
+    assert (
+        panel is not None and (panel.shut("m-7", ("x", "a", True)) or "") == "cordon: zone a takes nothing new (disks)"
+    )
+
+
+def test_orders_that_can_not_be_taken_are_refused_at_once() -> None:
+    def statuses(made: Rig, body: bytes, verb: Verb = Verb.CORDON) -> list[int]:
+        made.at += 0.6
+        effects = made.core.step(clock(made.at), [Asked(9, verb, body)])
+        return [each.status for each in effects if isinstance(each, Reply)]
+
+    good = msgspec.json.encode(CordonOrder(Scope.TYPE, "g"))
+    made = rig()
+    assert statuses(made, b'{"scope": "rack", "name": "x"}') == [400]
+    assert statuses(made, b'{"scope": "zone", "name": "a", "untill_s": 5}') == [400]
+    assert statuses(made, msgspec.json.encode(CordonOrder(Scope.ZONE, "a", until_s=5))) == [422]
+    assert statuses(made, msgspec.json.encode(CordonOrder(Scope.ZONE, "a", lift=True))) == [404]
+    made.core.membership.entitled_until = clock(0).steady
+    assert statuses(made, good) == [503]
+    assert statuses(Rig(), good) == [404] and statuses(Rig(), b"", Verb.CORDONS) == [404]
+
+
+def test_in_an_overload_an_order_waits_but_does_not_starve() -> None:
+    made = rig()
+    node = made.core.node
+    puts = made.core.ledger.policy_puts
+    order(made, 5, CordonOrder(Scope.ZONE, "a"))
+    (put,) = puts.values()
+    change = Change(node.picture, 1, 52_000)
+    made.core.ledger._compose_policies(change, timedelta(seconds=3), 1)
+    assert not change.puts
+    node.now = put.since + timedelta(seconds=3)
+    made.core.ledger._compose_policies(change, timedelta(seconds=3), 1)
+    assert list(change.puts) == list(puts)
+
+
+def test_cordons_are_shown_with_what_they_shut() -> None:
+    made = rig()
+    for name, scope in (("a", Scope.ZONE), ("nowhere", Scope.ZONE), ("m-1", Scope.MACHINE)):
+        key = rec.policy_key("cordon", policies.cordon.record_name(scope, name))
+        made.put(key, policies.cordon.CordonRecord(scope, name, "disks", "ana", 5))
+    made.put("g/q/cordon/zone.00", policies.cordon.CordonRecord(Scope.ZONE, "b", until_s=6))  # over by now
+    made.put("g/q/tariff/x", {"of": "a policy that is not switched on"})
+    made.at += 1
+    (reply,) = (each for each in made.core.step(clock(made.at), [Asked(9, Verb.CORDONS)]) if isinstance(each, Reply))
+    shown = wire.decode(operators.Cordons, reply.body).cordons
+    assert [(each.name, each.machines) for each in shown] == [("m-1", 1), ("a", 1), ("nowhere", 0)]
+    # Read from nothing again, the lifted ones are forgotten.
+    made.core.node.picture.reset()
+    panel = made.core.node.panel
+    assert panel is not None and panel.shut("m-1", ("g", "a", False)) is None
+
+
+def test_unknown_policies_are_refused_with_file_and_key(tmp_path: Path) -> None:
+    path = tmp_path / "operators.properties"
+    path.write_text("policies=cordon, tarif\n")
+    with pytest.raises(SettingsError, match=r"operators.properties: policies: unknown policy 'tarif'"):
+        load_operator(path)
+    path.write_text("policies = cordon\n")
+    assert load_operator(path).policy_names() == ["cordon"]
