--- a/src/gladecroft/cli.py
+++ b/src/gladecroft/cli.py
@@ -42,7 +42,10 @@
 class _Lazy(click.Group):
     """A group whose further commands are imported only when called: the daemon needs none of them."""
 
-    further = {"cordon": ("gladecroft.toolbox.cordon", "cordon")}
+    further = {
+        "cordon": ("gladecroft.toolbox.cordon", "cordon"),
+        "lab": ("gladecroft.lab.commands", "lab"),
+    }
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.further])
--- a/tests/bound.py
+++ b/src/gladecroft/lab/bound.py
@@ -1,6 +1,6 @@
 """How many arrays the best order could have had done in time, with the room there was.
 
-    PYTHONPATH=src:tests python tests/bound.py LOG [CLASS] [SECONDS...]
+    python -m gladecroft.lab.bound LOG [CLASS] [SECONDS...]
 
 LOG holds what the controllers of a day have written at level ``info``. From it come, for each array of the class, when
 it was accepted, how long its tasks held room in all, and when it was over; and for each instant how many tasks held
--- a/tests/growth.py
+++ b/src/gladecroft/lab/growth.py
@@ -1,7 +1,7 @@
 """What a report, a placement, a submission and a poll cost as the fleet grows: counted, so it repeats exactly.
 
-    PYTHONPATH=src:tests python tests/growth.py [MACHINES...]
-    PYTHONPATH=src:tests python tests/growth.py restart [SERVICES...]
+    python -m gladecroft.lab.growth [MACHINES...]
+    python -m gladecroft.lab.growth restart [SERVICES...]
 
 The first prints a table (simulated: the same minute in virtual time at each size). Steps are Python calls inside the
 core; state requests and changes are what the stand-in for the state service was asked for. Budgets grow with the fleet.
@@ -20,8 +20,8 @@
 import msgspec
 
 from gladecroft.coordination.messages import Asked, Event, Verb
-from runner import Scenario
-from world import Controller, Replier, seconds
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.world import Controller, Replier, seconds
 
 FLEET = """
 nodes 3
--- a/tests/oracle.py
+++ b/src/gladecroft/lab/oracle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,9 @@
 Key = tuple[str, int]
 
 
+EVENTS_KEPT = 200
+
+
 class Oracle:
     def __init__(self, jobs: dict[str, Json], limits: dict[str, float], cancel_s: float, now: Callable[[], float]):
         self.jobs = jobs
@@ -20,6 +24,8 @@
         self.cancel_s = cancel_s
         self.now = now
         self.broken: list[str] = []
+        #: What has happened lately, in words, for whoever looks for the cause of a broken rule.
+        self.events: deque[str] = deque(maxlen=EVENTS_KEPT)
         self.where: dict[Key, dict[str, tuple[str, str, bool]]] = {}
         self.zones: dict[str, str] = {}
         self.starts: list[tuple[float, Key, str, int]] = []
@@ -31,6 +37,9 @@
         self.cancelled_at: dict[str, float] = {}
         self.done_at: dict[str, float] = {}
 
+    def note(self, text: str) -> None:
+        self.events.append(f"{self.now():8.1f} {text}")
+
     def _break(self, rule: str, text: str) -> None:
         self.broken.append(f"{rule} at {self.now():.1f}: {text}")
 
@@ -41,6 +50,7 @@
         spec = self.jobs[key[0]]
         self.starts.append((self.now(), key, machine, attempt))
         self.zones[machine] = zone
+        self.note(f"{key[0]}/{key[1]}#{attempt} starts on {machine}")
         others = self.where.setdefault(key, {})
         if any(name != machine for name in others):
             self._break("ran_twice", f"{key} starts on {machine} while on {sorted(others)}")
@@ -50,6 +60,7 @@
         self._check_cancelled(key)
 
     def off(self, key: Key, machine: str) -> None:
+        self.note(f"{key[0]}/{key[1]} ends on {machine}")
         self.where.get(key, {}).pop(machine, None)
 
     def completed(self, key: Key) -> None:
--- a/tests/runner.py
+++ b/src/gladecroft/lab/scenario.py
@@ -11,11 +11,14 @@
 import msgspec
 
 from gladecroft.coordination.messages import Verb
+from gladecroft.lab.cloud import Cloud
+from gladecroft.lab.oracle import Oracle
+from gladecroft.lab.state import StateService
+from gladecroft.lab.user import User
+from gladecroft.lab.worker import Kind, Worker
+from gladecroft.lab.world import START, Controller, World, seconds
 from gladecroft.protocol import operators
 from gladecroft.protocol.settings import Operator, Platform
-from oracle import Oracle
-from standins import Cloud, Kind, StateService, User, Worker
-from world import START, Controller, World, seconds
 
 Json = dict[str, Any]
 Words = dict[str, str]
@@ -30,7 +33,35 @@
 
 
 class ScenarioError(Exception):
-    pass
+    """The scenario can't be played; the text names the line and the word."""
+
+
+#: The deeds, and the words that each may carry.
+_JOB = "team kind priority tasks cpus memory image gb zone one_zone spread spot run checkpoint save broken times"
+DEEDS: dict[str, set[str]] = {
+    deed: set(words.split())
+    for deed, words in {
+        "submit": _JOB, "cancel": "", "crash": "for", "cut": "mode for", "cut-machine": "mode for", "hang": "for",
+        "die": "", "sick": "", "slow": "factor", "notice": "for", "outage": "for", "refuse": "for",
+        "cloud-outage": "for", "late": "share lose for", "forget-log": "for", "never-boot": "share for",
+        "cordon": "why for lift node", "ask": "",
+    }.items()
+}  # fmt: skip
+SETTINGS: dict[str, set[str] | None] = {
+    "nodes": set(),
+    "team": {"cpus", "max"},
+    "type": {"cpus", "memory", "price", "spot_price", "boot", "zones", "count", "spot"},
+    "set": None,  # operators' settings, which are checked by themselves
+    "state": {"rps", "write_rps", "value_kb", "txn_ops"},
+    "memory": set(),
+    "up": {"zone", "count", "spot"},
+}
+
+
+def _check(verb: str, named: Words, known: set[str] | None) -> None:
+    for word in named:
+        if known is not None and word not in known:
+            raise ValueError(f"{verb} knows no {word!r}" + (f" (known: {', '.join(sorted(known))})" if known else ""))
 
 
 def _words(parts: list[str]) -> tuple[list[str], Words]:
@@ -58,6 +89,7 @@
         #: The answers to operators' orders.
         self.orders: list[int] = []
         lines = [line.split("#", 1)[0].strip() for line in text.splitlines()]
+        self._line = (0, "")
         self._lines = [(number, line) for number, line in enumerate(lines, 1) if line]
 
     def run(self) -> Scenario:
@@ -71,19 +103,24 @@
             self._guard(number, line, self._setup)
         self._build()
         for number, line in rest:
+            self._line = (number, line)
             self._guard(number, line, self._act)
         return self
 
     def _guard(self, number: int, line: str, do: Any) -> None:
         try:
             do(shlex.split(line))
-        except (KeyError, ValueError, IndexError) as error:
-            raise ScenarioError(f"line {number}: {line!r}: {error!r}") from error
+        except ScenarioError:
+            raise
+        except (KeyError, ValueError, IndexError, StopIteration, msgspec.ValidationError) as error:
+            what = f"no such {error.args[0]!r}" if isinstance(error, KeyError) else str(error) or "not enough words"
+            raise ScenarioError(f"line {number}: {line!r}: {what}") from error
 
     # Setup
 
     def _setup(self, parts: list[str]) -> None:
         plain, named = _words(parts)
+        _check(plain[0], named, SETTINGS[plain[0]])
         if plain[0] == "nodes":
             self._nodes = int(plain[1])
         elif plain[0] == "team":
@@ -154,17 +191,29 @@
         verb = parts[0]
         if verb == "up":
             plain, named = _words(parts)
+            _check(verb, named, SETTINGS[verb])
             for _ in range(int(named.get("count", "1"))):
                 self.cloud.rent(plain[1], named.get("zone", "a"), named.get("spot") == "yes", boot=timedelta())
         elif verb == "at":
             offset, rest = seconds(float(parts[1])), parts[2:]
-            self.world.at(offset, lambda: self._do(rest))
+            number, line = self._line
+            if rest[0] not in DEEDS:
+                raise ValueError(f"unknown deed {rest[0]!r}")
+            _check(rest[0], _words(rest)[1], DEEDS[rest[0]])
+            if rest[0] == "submit" and _words(rest)[1].get("team") not in self.limits:
+                raise ValueError(f"no team {_words(rest)[1].get('team')!r}")
+
+            def do() -> None:
+                self.oracle.note(" ".join(rest))
+                self._guard(number, line, lambda _: self._do(rest))
+
+            self.world.at(offset, do)
         elif verb == "run":
             self.world.run_until(seconds(float(parts[1])))
         elif verb == "expect":
             self._expect(parts[1:])
         else:
-            raise ValueError(f"unknown verb {verb}")
+            raise ValueError(f"unknown word {verb!r}")
 
     def _controller(self, name: str) -> Controller:
         if name == "leader":
@@ -173,12 +222,18 @@
         if name == "follower":
             epoch = self.state.keys["g/epoch"][0]
             name = next(node for node in sorted(epoch["members"]) if node != epoch["leader"])
-        return next(controller for controller in self.controllers if controller.name == name)
+        for controller in self.controllers:
+            if controller.name == name:
+                return controller
+        raise ValueError(f"no controller {name!r}")
 
     def _worker(self, name: str) -> Worker:
         if name == "busiest":
             return max(self.cloud.machines.values(), key=lambda worker: (len(worker.tasks), worker.name))
-        return self.cloud.machines[f"m-{int(name):06d}"]
+        worker = self.cloud.machines.get(f"m-{int(name):06d}")
+        if worker is None:
+            raise ValueError(f"no machine {name!r} at that time")
+        return worker
 
     def _do(self, parts: list[str]) -> None:
         plain, named = _words(parts)
@@ -188,6 +243,8 @@
             for index in range(int(named.get("times", "1"))):
                 self._submit(plain[1] if index == 0 else f"{plain[1]}{index:03d}", named)
         elif verb == "cancel":
+            if plain[1] not in self.users:
+                raise ValueError(f"no job {plain[1]!r} at that time")
             self.users[plain[1]].cancel()
         elif verb == "crash":
             for name in plain[1:]:
@@ -253,7 +310,7 @@
         elif verb == "ask":
             User(self.world, self.controllers, self.oracle, {"nameId": plain[1]}).poll()
         else:
-            raise ScenarioError(f"unknown deed {verb}")
+            raise ValueError(f"unknown deed {verb!r}")
 
     def _submit(self, name: str, named: Words) -> None:
         kind = named.get("kind", "batch")
--- a/tests/world.py
+++ b/src/gladecroft/lab/world.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from typing import Protocol
 
 import msgspec
 
@@ -221,6 +222,18 @@
 Replier = Callable[[int, bytes], None]
 
 
+class Front(Protocol):
+    """A controller as its users and workers see it."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def alive(self) -> bool: ...
+
+    def ask(self, verb: Verb, body: bytes, job: str, then: Callable[[Reply], None]) -> None: ...
+
+
 class StateLike:
     def serve(self, node: str, method: str, path: str, body: bytes, reply: Replier) -> None: ...
 
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bound import Array, most_in_time, read, room
+from gladecroft.lab.bound import Array, most_in_time, read, room
 
 LOG = """
 2026-01-01 10:00:00,000 INFO gladecroft.coordination.users: job wk-1: accepted, 2 tasks of c for t
--- a/tests/test_consent.py
+++ b/tests/test_consent.py
@@ -10,11 +10,11 @@
 
 from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Target, Verb
 from gladecroft.coordination.node import SLACK
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.world import seconds
 from gladecroft.protocol import peers, wire
-from runner import Scenario
 from test_epochs import clock
 from test_fencing import Rig
-from world import seconds
 
 FLEET = """
 set machine.consolidate=false
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from growth import measure, measure_restart
+from gladecroft.lab.growth import measure, measure_restart
 
 
 def test_reports_submissions_and_polls_cost_the_same_and_changes_no_more_in_a_larger_fleet() -> None:
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gladecroft.coordination.messages import Verb
-from oracle import Oracle
+from gladecroft.lab.oracle import Oracle
 
 JOB: dict[str, Any] = {
     "owner": "t", "cores": 4.0, "portions": 2, "flavors": ["g16"], "district": None, "oneZone": False, "apart": True,
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -16,16 +16,16 @@
 from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Verb
 from gladecroft.coordination.placers.placement import HighPlacer, LowSide, Ranking
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.world import START, seconds
 from gladecroft.policies.panel import Panel
 from gladecroft.policies.seam import Demand, Drain, Hold, Place, Policy
 from gladecroft.protocol import operators, wire
 from gladecroft.protocol.operators import CordonOrder, Scope
 from gladecroft.protocol.settings import Operator, SettingsError, load_operator
-from runner import Scenario
 from test_epochs import clock
 from test_fencing import SPEC, Rig
 from test_placement import need, resident, slot
-from world import START, seconds
 
 #: The instant of a scenario's beginning, by the wall.
 ZERO = START + seconds(1000)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,13 +14,13 @@
 from gladecroft.coordination.ledger.closing import bound_teams
 from gladecroft.coordination.messages import Answered, Asked, Call, Target, Verb
 from gladecroft.coordination.placers.placement import HighPlacer, LowSide, Ranking
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.world import Replier, seconds
 from gladecroft.protocol import peers, wire
 from gladecroft.protocol.settings import Objective
-from runner import Scenario
 from test_epochs import clock
 from test_fencing import SPEC, Rig
 from test_placement import LINE, need, slot
-from world import Replier, seconds
 
 FLEET = """
 set machine.consolidate=false
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from runner import play
+from gladecroft.lab.scenario import play
 
 FILES = sorted(Path(__file__).parent.glob("scenarios/*.txt"))
 
