--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -175,7 +175,9 @@
             if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
                 continue
             if ranking is None:
-                usable = self.floor.usable(job, closed)
+                # Tasks on machines that are not known may take up all that any zone may have: then it is closed though
+                # none of the job's tasks is known to be there.
+                usable = self.floor.usable(job, closed) if cap > 0 else []
                 if spec.one_zone:
                     usable = one_zone(usable, zones)
                 if kept_out:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -120,15 +120,39 @@
 
 def test_a_task_on_an_unknown_machine_counts_in_every_zone() -> None:
     rig = Rig()
-    spec = msgspec.structs.replace(SPEC, id="wk-2", kind=wire.Kind.SERVICE, tasks=4, spread=True)
+    spec = msgspec.structs.replace(
+        SPEC,
+        id="wk-2",
+        kind=wire.Kind.SERVICE,
+        tasks=4,
+        spread=True,
+        one_zone=False,
+        types=None,
+        zone=None,
+        cpus=1.0,
+        gpus=0.0,
+    )
     rig.put("g/j/wk-2", rec.JobRecord(spec, 0))
     waiting = TaskRecord(TaskState.QUEUED)
     there = TaskRecord(TaskState.ACTIVE, 1, "m-99")
     rig.put("g/p/wk-2/0", rec.ChunkRecord([there, there, waiting, waiting]))
     job, placers = rig.core.node.picture.jobs["wk-2"], rig.core.placers
     assert placers.zone_room(job) == ({}, 0)
+    # Nor is anything placed then, though no zone is known to be full: a day once ended with five of nine in one zone.
+    placers.floor.set_types({"g": wire.MachineType("g", 16.0, 64.0, 1.0, 0.4, 30.0, ["a", "b"])})
+    rig.core.membership.parts.homes["t"] = "n0"
+    rig.put(rec.team_key("t"), rec.TeamRecord("n0", 7))
+    rig.step([Asked(90, Verb.REPORT, rig.report())])
+
+    def placed() -> list[str]:
+        change = Change(rig.core.node.picture, 12, 52_000)
+        placers.place(change)
+        return [note for note in change.notes if note.startswith("wk-2/")]
+
+    assert placed() == []
     rig.core.node.picture.hear("m-99", rec.MachineRecord("g", "b", False, "10.1.0.99:9000"))
     assert placers.zone_room(job) == ({"b": 2}, 2)
+    assert {note.split()[-1] for note in placed()} == {"m-1"}
 
 
 def test_an_owner_not_long_in_office_does_not_say_that_it_does_not_hear_a_machine() -> None:
