Rounds of placing are rarer when much waits

A round looks at all work that waits, in every controller, and is begun ten times a second while there is news: in an overload that is most of a controller's processor time. Beyond twenty jobs each adds 2 ms to the pause before the next round, up to 0.4 s, unless the last transaction was full. With few jobs waiting nothing changes.

--- a/src/gladecroft/coordination/ledger/ledger.py
+++ b/src/gladecroft/coordination/ledger/ledger.py
@@ -27,6 +27,10 @@
 #: Transactions are begun at most this often; unless something has changed, much less often.
 FLUSH_EVERY = timedelta(milliseconds=100)
 FLUSH_IDLE = timedelta(milliseconds=400)
+#: The more jobs the last round of placing went through, beyond a few, the longer until the next: so that what placing
+#: takes of the processor does not grow with what waits. A job in a round takes about 0.05 ms.
+FEW_JOBS = 20
+PAUSE_PER_JOB = timedelta(milliseconds=2)
 LEFT_FOR_USERS = 2
 WEIGH_EVERY = timedelta(seconds=2)
 #: How long a policy's record waits for a change that nobody else wants.
@@ -57,6 +61,8 @@
         self.unsure: set[str] = set()
         #: Composers add what they want to a change; they run after exits, in order.
         self.composers: list[Callable[[Change], None]] = []
+        #: How many waiting jobs the last round of placing went through.
+        self.planned = 0
         self.busy = False
         self._stale: deque[str] = deque()
         self._reading = 0
@@ -97,7 +103,7 @@
             return
         self._weigh()
         seen = (self.picture.changes, len(self.exits), len(self.machine_puts))
-        if node.now - self._flushed_at < (FLUSH_EVERY if seen != self._seen else FLUSH_IDLE):
+        if node.now - self._flushed_at < (self._pause() if seen != self._seen else FLUSH_IDLE):
             return
         # A little is left for submissions, which are not to wait for the next writes.
         left = LEFT_FOR_USERS if node.writes.burst >= 3 * LEFT_FOR_USERS else 0
@@ -132,6 +138,12 @@
         if change.finish():
             self._commit(change)
 
+    def _pause(self) -> timedelta:
+        """How long after one transaction the next is begun if there is news."""
+        if self._was_full:
+            return FLUSH_EVERY  # there is more to write than one holds
+        return min(FLUSH_IDLE, FLUSH_EVERY + max(0, self.planned - FEW_JOBS) * PAUSE_PER_JOB)
+
     def _weigh(self) -> None:
         """Tell the budget, now and then, how much of all unfinished work has its home here."""
         if self.node.now - self._weighed_at < WEIGH_EVERY or not self.picture.jobs:
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -85,6 +85,7 @@
                 del self.waits[name]
         waiting = self.waiting()
         homes = {job.id: self.membership.job_home(job.spec) or "" for job in waiting}
+        self.ledger.planned = 0
         if me not in homes.values():
             return
         guaranteed = self.picture.guaranteed()
@@ -96,6 +97,7 @@
         pressing = self.queue.pressing(guaranteed)
         for job in self.queue.order(waiting, pressing):
             place = self.gangs.place if job.spec.kind is Kind.GANG else self._place_job
+            self.ledger.planned += 1
             most -= place(change, job, job.id in pressing, homes[job.id], most)
             # Once the transaction is full there is nothing more to carry out; the next round plans anew.
             if most <= 0 or not change.room(1, 0):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -290,3 +290,14 @@
     # Nor is anything left lying for ever.
     submit("wk-5", 400.0)
     assert pressing() == {"wk-5"}
+
+
+def test_the_more_work_waits_the_rarer_are_rounds_unless_there_is_more_to_write() -> None:
+    ledger = Rig().core.ledger
+    pauses = {}
+    for planned in (0, 20, 70, 5000):
+        ledger.planned = planned
+        pauses[planned] = round(ledger._pause().total_seconds() * 1000)
+    assert pauses == {0: 100, 20: 100, 70: 200, 5000: 400}
+    ledger._was_full = True
+    assert ledger._pause().total_seconds() == 0.1
