--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -138,7 +138,7 @@
     rig.put("g/p/wk-2/0", rec.ChunkRecord([there, there, waiting, waiting]))
     job, placers = rig.core.node.picture.jobs["wk-2"], rig.core.placers
     assert placers.zone_room(job) == ({}, 0)
-    # Nor is anything placed then, though no zone is known to be full: a day once ended with five of nine in one zone.
+    # Nor is anything placed then, though no zone is known to be full.
     placers.floor.set_types({"g": wire.MachineType("g", 16.0, 64.0, 1.0, 0.4, 30.0, ["a", "b"])})
     rig.core.membership.parts.homes["t"] = "n0"
     rig.put(rec.team_key("t"), rec.TeamRecord("n0", 7))
