One piece of code where the change had two

Read once more, the change said some things twice: the handler round a stand-in (lab/loopback, two copies), a machine's type, zone and kind as a tuple (four places, now MachineRecord.sort), which machines a demand counts (plan and fleet, now Demand.suits), by what a cordon may call a machine (filter and list), the facts of a cordon (kept and shown), how an instant is written (five places), how a command fails (lab and toolbox). Operators' orders are looked at in each step only if a policy is on: off means no step more.

--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -110,6 +110,10 @@
     GONE = 6
 
 
+#: A machine's type and zone, and whether it is a cheap one (spot).
+MachineSort = tuple[str, str, bool]
+
+
 class MachineRecord(msgspec.Struct, gc=False, frozen=True):
     type: str
     zone: str
@@ -119,9 +123,9 @@
     #: When the cloud takes it away, if it has said so, by the time of day.
     until_s: int = 0
 
-
-#: A machine's type and zone, and whether it is a cheap one (spot).
-MachineSort = tuple[str, str, bool]
+    @property
+    def sort(self) -> MachineSort:
+        return self.type, self.zone, self.spot
 
 
 class MailRecord(msgspec.Struct, gc=False, frozen=True):
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -56,7 +56,8 @@
         self._follow_epoch()
         self.consent.tick()
         self.users.tick()
-        self.orders.tick()
+        if node.panel is not None:
+            self.orders.tick()
         self.keeper.tick()
         self.fleet.tick()
         self.ledger.ends.tell()
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -119,7 +119,7 @@
         boots = [
             kind.boot_s
             for kind in self.placers.types.values()
-            if demand.type in ("", kind.name) and (not demand.zone or demand.zone in kind.zones)
+            if any(demand.suits(kind.name, zone) for zone in kind.zones)
         ]
         lead = timedelta(seconds=1.5 * max(boots, default=0.0)) + 2 * self.node.report + PLAN_EVERY
         return demand.at - self.node.wall <= lead
@@ -136,7 +136,7 @@
             cpus, gpus, memory = self.picture.used_on(name)
             bins.append(
                 Bin(
-                    (record.type, record.zone, record.spot),
+                    record.sort,
                     kind.cpus - cpus,
                     kind.gpus - gpus,
                     kind.memory_gb - memory,
@@ -209,7 +209,7 @@
             cpus = self.picture.used_on(name)[0]
             used += cpus
             # What takes nothing new is no reserve for what comes.
-            room = 0.0 if self._shut(name, (record.type, record.zone, record.spot)) else kind.cpus
+            room = 0.0 if self._shut(name, record.sort) else kind.cpus
             free += room - cpus if room else 0.0
             if self.picture.residents(name) or name in needed:
                 self._idle_since.pop(name, None)
--- a/src/gladecroft/coordination/fleet/plan.py
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -205,13 +205,10 @@
         missing = demand.cpus
         left = KEEP_MOST
 
-        def suits(sort: MachineSort) -> bool:
-            return demand.type in ("", sort[0]) and demand.zone in ("", sort[1])
-
         for bin in bins:
             if missing <= 1e-6:
                 return
-            if bin.cpus > 1e-6 and suits(bin.sort) and not shut(bin.machine, bin.sort):
+            if bin.cpus > 1e-6 and demand.suits(*bin.sort[:2]) and not shut(bin.machine, bin.sort):
                 missing -= bin.cpus
                 bin.taken = True
         prices: list[tuple[float, int, str, MachineSort]] = []
@@ -219,7 +216,7 @@
             for zone in kind.zones:
                 for spot in (True, False):
                     sort = (kind.name, zone, spot)
-                    if suits(sort) and sort not in self.terms.closed and not shut("", sort):
+                    if demand.suits(kind.name, zone) and sort not in self.terms.closed and not shut("", sort):
                         price = (kind.spot_price if spot else kind.price) / max(kind.cpus, 1e-9)
                         prices.append((round(price, 4), self.in_zone.get(zone, 0), zone, sort))
         for _, _, _, sort in sorted(prices):
--- a/src/gladecroft/coordination/orders.py
+++ b/src/gladecroft/coordination/orders.py
@@ -13,6 +13,7 @@
 from gladecroft.coordination.messages import Asked
 from gladecroft.coordination.node import Node
 from gladecroft.policies import cordon
+from gladecroft.policies.seam import Place
 from gladecroft.protocol import operators, wire
 
 #: How long an order may wait for its commit; the service gives a request up after 4.5 s.
@@ -42,9 +43,7 @@
             self.node.refuse(asked.number, 503, "starting: the records are not read yet", 1)
             return
         shown = [
-            operators.CordonShown(
-                record.scope, record.name, record.why, record.by, record.since_s, record.until_s, self._shuts(record)
-            )
+            operators.CordonShown(**msgspec.structs.asdict(record), machines=self._shuts(record))
             for record in policy.records.values()
             if not record.over(self.node.wall)
         ]
@@ -54,12 +53,7 @@
     def _shuts(self, record: cordon.CordonRecord) -> int:
         """How many of the machines that there are a cordon shuts."""
         return sum(
-            record.name
-            == {
-                operators.Scope.MACHINE: name,
-                operators.Scope.TYPE: machine.type,
-                operators.Scope.ZONE: machine.zone,
-            }[record.scope]
+            record.shuts(Place.of(name, machine.sort))
             for name, machine in self.picture.machines.items()
             if machine.use is not MachineUse.GONE
         )
--- a/src/gladecroft/coordination/placers/floor.py
+++ b/src/gladecroft/coordination/placers/floor.py
@@ -13,6 +13,7 @@
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers.placement import Resident, Slot
 from gladecroft.policies import Panel
+from gladecroft.protocol.operators import utc
 from gladecroft.protocol.wire import JobSpec, Kind, MachineType
 
 
@@ -54,7 +55,7 @@
             slot = self._slot(name, guaranteed)
             if slot is not None:
                 record = self.picture.machines[name]
-                sort = (record.type, record.zone, record.spot)
+                sort = record.sort
                 self.slots[name] = slot
                 self._sorts[name] = sort
                 self.groups.setdefault(sort, {})[name] = slot
@@ -166,4 +167,4 @@
         ends = panel.now + timedelta(seconds=job.spec.estimate_s)
         if job.spec.kind is Kind.ARRAY and job.spec.estimate_s > 0 and ends <= drain.by - drain.grace:
             return None
-        return f"{drain.why}; to be empty by {drain.by:%Y-%m-%d %H:%M:%S} UTC"
+        return f"{drain.why}; to be empty by {utc(drain.by)}"
--- a/src/gladecroft/coordination/placers/stops.py
+++ b/src/gladecroft/coordination/placers/stops.py
@@ -72,7 +72,7 @@
     def _in_use(self) -> list[tuple[str, MachineSort]]:
         """The machines with work on them, as far as they are known."""
         return [
-            (name, (record.type, record.zone, record.spot))
+            (name, record.sort)
             for name in self.picture.on_machine
             if (record := self.picture.machines.get(name)) is not None
         ]
--- a/src/gladecroft/lab/commands.py
+++ b/src/gladecroft/lab/commands.py
@@ -7,7 +7,7 @@
 import time
 from datetime import timedelta
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 import anyio
 import click
@@ -16,9 +16,9 @@
 from gladecroft.lab.loopback import Lab, LabError
 from gladecroft.lab.scenario import Scenario, ScenarioError
 from gladecroft.protocol.settings import Operator, SettingsError, load_operator
+from gladecroft.toolbox.talk import BAD_INPUT, fail
 
 BROKEN = 1
-BAD_INPUT = 2
 #: A killed controller is started again after this.
 DOWN = timedelta(seconds=3)
 #: Seconds between two jobs, at speed 1.
@@ -26,11 +26,6 @@
 EVENTS_SHOWN = 30
 
 
-def _fail(why: str, code: int = BAD_INPUT) -> NoReturn:
-    click.echo(f"gladecroft: {why}", err=True)
-    sys.exit(code)
-
-
 @click.group()
 def lab() -> None:
     """A cluster to try things on: real sockets on loopback, or virtual time."""
@@ -48,11 +43,11 @@
         try:
             text = Path(path).read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as error:
-            _fail(f"{path}: {error}")
+            fail(BAD_INPUT, f"{path}: {error}")
         try:
             scenario = Scenario(text, seed).run()
         except ScenarioError as error:
-            _fail(f"{path}: {error}")
+            fail(BAD_INPUT, f"{path}: {error}")
         oracle = scenario.oracle
         good = not oracle.broken and not scenario.failures
         bad += not good
@@ -80,7 +75,7 @@
     try:
         return float(at), float(span)
     except ValueError:
-        _fail(f"{name}: expected AT:FOR in seconds, such as 20:30, got {text!r}")
+        fail(BAD_INPUT, f"{name}: expected AT:FOR in seconds, such as 20:30, got {text!r}")
 
 
 @lab.command()
@@ -111,7 +106,7 @@
     try:
         operator = load_operator(properties)
     except SettingsError as wrong:
-        _fail(str(wrong))
+        fail(BAD_INPUT, str(wrong))
     logging.disable(logging.CRITICAL)
     show: Any = _Lines() if as_json else _table()
     made = Lab(seed, controllers, speed, port)
@@ -126,7 +121,7 @@
         error: BaseException = mine
         while isinstance(error, BaseExceptionGroup):
             error = error.exceptions[0]
-        _fail(str(error))
+        fail(BAD_INPUT, str(error))
     finally:
         show.close()
     last = made.snapshot()
@@ -182,5 +177,5 @@
     try:
         from gladecroft.lab.table import Table
     except ImportError:
-        _fail("the table needs the extra: pip install 'gladecroft[lab]', or use --json")
+        fail(BAD_INPUT, "the table needs the extra: pip install 'gladecroft[lab]', or use --json")
     return Table()
--- a/src/gladecroft/lab/loopback.py
+++ b/src/gladecroft/lab/loopback.py
@@ -25,7 +25,7 @@
 from gladecroft.protocol.settings import Operator, Platform
 from gladecroft.service import Service
 from gladecroft.transport.client import Client
-from gladecroft.transport.server import Request, Response, Server
+from gladecroft.transport.server import Handler, Request, Response, Server
 
 Json = dict[str, Any]
 
@@ -52,6 +52,24 @@
         return port
 
 
+def _answered(serve: Callable[[Request, Replier], None]) -> Handler:
+    """An HTTP handler round a stand-in that replies when it likes."""
+
+    async def handle(request: Request) -> Response:
+        done = anyio.Event()
+        got: list[Response] = []
+
+        def reply(status: int, body: bytes) -> None:
+            got.append(Response(status, body))
+            done.set()
+
+        serve(request, reply)
+        await done.wait()
+        return got[0]
+
+    return handle
+
+
 class Door:
     """A controller's address, through which users and workers ask; and the controller, while it lives."""
 
@@ -137,7 +155,7 @@
         """Bring all up. ``LabError`` if a port is in use."""
         self._group = group
         group.start_soon(self._drive)
-        state = await self._listen(lambda request, reply: self._to_state(request, reply))
+        state = await self._listen(self._to_state)
         cloud = await self._listen(
             lambda request, reply: self.cloud.serve("lab", request.method, request.path, request.body, reply)
         )
@@ -169,19 +187,7 @@
             group.start_soon(door.run, operator)
 
     async def _listen(self, serve: Callable[[Request, Replier], None]) -> int:
-        async def handle(request: Request) -> Response:
-            done = anyio.Event()
-            got: list[Response] = []
-
-            def reply(status: int, body: bytes) -> None:
-                got.append(Response(status, body))
-                done.set()
-
-            serve(request, reply)
-            await done.wait()
-            return got[0]
-
-        port: int = await self._group.start(Server(handle, 200, 1 << 20).serve, HOST, 0)
+        port: int = await self._group.start(Server(_answered(serve), 200, 1 << 20).serve, HOST, 0)
         return port
 
     def _to_state(self, request: Request, reply: Replier) -> None:
@@ -202,19 +208,9 @@
                         seconds(WORKERS["lease_s"]), seconds(WORKERS["report_s"]))  # fmt: skip
         port = free_port()
         worker.addr = f"{HOST}:{port}"
-
-        async def commands(request: Request) -> Response:
-            done = anyio.Event()
-            got: list[Response] = []
-
-            def reply(status: int, body: bytes) -> None:
-                got.append(Response(status, body))
-                done.set()
-
-            worker.direct("lab", request.method, request.path, request.body, reply)
-            await done.wait()
-            return got[0]
-
+        commands = _answered(
+            lambda request, reply: worker.direct("lab", request.method, request.path, request.body, reply)
+        )
         self._group.start_soon(Server(commands, 50, 1 << 20).serve, HOST, port)
         return worker
 
--- a/src/gladecroft/policies/cordon.py
+++ b/src/gladecroft/policies/cordon.py
@@ -6,36 +6,37 @@
 
 from __future__ import annotations
 
-from datetime import UTC, datetime
+from datetime import datetime
 from hashlib import blake2b
 
 import msgspec
 
 from gladecroft.bookkeeping.job import Job
 from gladecroft.policies.seam import Place, Policy
-from gladecroft.protocol.operators import CordonOrder, Scope
+from gladecroft.protocol.operators import CordonFacts, CordonOrder, Scope, until
 
 #: So many cordons at the most; one for a whole type or zone does for many machines.
 MOST = 500
 
 
-class CordonRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """``until_s``: when it ends, by the time of day; 0: when an operator lifts it."""
-
-    scope: Scope
-    name: str
-    why: str = ""
-    by: str = ""
-    since_s: int = 0
-    until_s: int = 0
+class CordonRecord(CordonFacts, frozen=True, omit_defaults=True):
+    """A cordon as it is kept."""
 
     def over(self, now: datetime) -> bool:
         return 0 < self.until_s <= now.timestamp()
 
     def sentence(self) -> str:
         """Plain words for reasons and views."""
-        end = f" until {datetime.fromtimestamp(self.until_s, UTC):%Y-%m-%d %H:%M:%S} UTC" if self.until_s else ""
-        return f"{self.scope.value} {self.name} takes nothing new{end}" + (f" ({self.why})" if self.why else "")
+        why = f" ({self.why})" if self.why else ""
+        return f"{self.scope.value} {self.name} takes nothing new{until(self.until_s)}{why}"
+
+    def shuts(self, place: Place) -> bool:
+        return (self.scope, self.name) in _names(place)
+
+
+def _names(place: Place) -> tuple[tuple[Scope, str], ...]:
+    """All that a cordon may call a machine by."""
+    return (Scope.MACHINE, place.name), (Scope.TYPE, place.type), (Scope.ZONE, place.zone)
 
 
 def record_name(scope: Scope, name: str) -> str:
@@ -67,7 +68,7 @@
         self._by_name.clear()
 
     def filter(self, job: Job | None, place: Place, now: datetime) -> str | None:
-        for key in ((Scope.MACHINE, place.name), (Scope.TYPE, place.type), (Scope.ZONE, place.zone)):
+        for key in _names(place):
             record = self._by_name.get(key)
             if record is not None and not record.over(now):
                 return record.sentence()
--- a/src/gladecroft/policies/panel.py
+++ b/src/gladecroft/policies/panel.py
@@ -19,6 +19,7 @@
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineSort
 from gladecroft.policies.seam import Demand, Drain, Hold, Place, Policy
+from gladecroft.protocol.operators import utc
 
 log = logging.getLogger(__name__)
 
@@ -107,7 +108,7 @@
         if latest is None:
             return None
         until = min(latest.until, self.now + LONGEST_HOLD)
-        return f"{whose}: {latest.why}; at the latest {until:%Y-%m-%d %H:%M:%S} UTC"
+        return f"{whose}: {latest.why}; at the latest {utc(until)}"
 
     def shut(self, name: str, sort: MachineSort) -> str | None:
         """Why a machine takes nothing new, whatever the job; None if it does."""
--- a/src/gladecroft/policies/seam.py
+++ b/src/gladecroft/policies/seam.py
@@ -42,6 +42,10 @@
     type: str = ""
     zone: str = ""
 
+    def suits(self, type: str, zone: str) -> bool:
+        """Whether machines of this type in this zone count."""
+        return self.type in ("", type) and self.zone in ("", zone)
+
 
 class Drain(msgspec.Struct, frozen=True):
     """A machine is to be empty by an instant. What can save gets ``grace`` for it before."""
--- a/src/gladecroft/protocol/operators.py
+++ b/src/gladecroft/protocol/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime
 from enum import Enum
 from typing import Annotated
 
@@ -12,6 +13,16 @@
 CORDONS_PATH = "/cordons"
 
 
+def utc(at: datetime) -> str:
+    """An instant as logs, reasons and commands write it."""
+    return f"{at:%Y-%m-%d %H:%M:%S} UTC"
+
+
+def until(until_s: int) -> str:
+    """The end of something, by the time of day, to be put after other words; nothing if it has none (0)."""
+    return f" until {utc(datetime.fromtimestamp(until_s, UTC))}" if until_s else ""
+
+
 class Scope(Enum):
     """What a cordon's name is the name of."""
 
@@ -31,8 +42,8 @@
     lift: bool = False
 
 
-class CordonShown(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A cordon as operators see it, and how many machines it shuts."""
+class CordonFacts(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A cordon that is set. ``until_s``: when it ends, by the time of day; 0: when an operator lifts it."""
 
     scope: Scope
     name: str
@@ -40,6 +51,11 @@
     by: str = ""
     since_s: int = 0
     until_s: int = 0
+
+
+class CordonShown(CordonFacts, frozen=True, omit_defaults=True):
+    """A cordon as operators see it, and how many machines it shuts."""
+
     machines: int = 0
 
 
--- a/src/gladecroft/toolbox/cordon.py
+++ b/src/gladecroft/toolbox/cordon.py
@@ -116,7 +116,7 @@
     elif order.lift:
         click.echo(f"{order.scope.value} {order.name}: the cordon is lifted")
     else:
-        click.echo(f"{order.scope.value} {order.name} takes nothing new{_end(order.until_s)}")
+        click.echo(f"{order.scope.value} {order.name} takes nothing new{operators.until(order.until_s)}")
 
 
 @cordon.command("list")
@@ -133,10 +133,9 @@
     for each in cordons:
         about = ", ".join(part for part in (each.why, f"by {each.by}" if each.by else "") if part)
         machines = f"{each.machines} machine{'' if each.machines == 1 else 's'}"
-        click.echo(f"{each.scope.value} {each.name}: {machines}{_end(each.until_s)}" + (f" ({about})" if about else ""))
+        click.echo(
+            f"{each.scope.value} {each.name}: {machines}{operators.until(each.until_s)}"
+            + (f" ({about})" if about else "")
+        )
     if not cordons:
         click.echo("no cordons")
-
-
-def _end(until_s: int) -> str:
-    return f" until {datetime.fromtimestamp(until_s, UTC):%Y-%m-%d %H:%M:%S} UTC" if until_s else ""
