What a round of placing costs no longer grows with what waits

Change: waiting jobs stand in rows of those that look for the same room, kept in order from round to round; only jobs that changed or whose turn changes with the time are put in their places anew. A row without room is closed for the round. Sums over waiting work (cores, sizes, urgent jobs, weights) are kept as they change; guarantees are worked out up to the first job that does not fit. The fleet's plan goes by the same rows and counts a team's limit once, not once a job.

--- a/src/gladecroft/bookkeeping/job.py
+++ b/src/gladecroft/bookkeeping/job.py
@@ -19,7 +19,7 @@
     """An accepted job that is not over, with its tasks."""
 
     __slots__ = (
-        "id", "spec", "record", "version", "chunks", "versions", "counts", "begun", "rank", "size",
+        "id", "spec", "record", "version", "chunks", "versions", "counts", "begun", "rank", "size", "_notes",
     )  # fmt: skip
 
     def __init__(self, record: rec.JobRecord, version: int, size: int) -> None:
@@ -34,6 +34,7 @@
         #: Tasks that have been placed at least once.
         self.begun = 0
         self.rank = PRIORITY_RANK[record.spec.priority]
+        self._notes: list[str] | None = []
 
     @property
     def cancelled(self) -> bool:
@@ -66,6 +67,21 @@
         chunk = self.chunks.get(number // self.size)
         return EMPTY if chunk is None else chunk[number % self.size]
 
+    def changed(self) -> None:
+        """Some of its tasks have."""
+        self._notes = None
+
+    def notes(self) -> list[str]:
+        """Why waiting tasks last stopped, the most frequent first; worked out once a change, not once a poll."""
+        if self._notes is None:
+            notes: dict[str, int] = {}
+            for chunk in self.chunks.values():
+                for task in chunk:
+                    if task.note and task.state is TaskState.QUEUED:
+                        notes[task.note] = notes.get(task.note, 0) + 1
+            self._notes = [f"{note} ({count})" for note, count in sorted(notes.items(), key=lambda item: -item[1])[:3]]
+        return self._notes
+
     def queued_tasks(self) -> Iterator[int]:
         for index in range(self.chunk_count()):
             chunk = self.chunks.get(index)
--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -14,8 +14,9 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.job import EMPTY, Job, TaskKey
-from gladecroft.bookkeeping.teams import TeamUse, never_runs, within_guarantees
+from gladecroft.bookkeeping.teams import Guarantees, TeamUse, never_runs
 from gladecroft.bookkeeping.versions import Versions
+from gladecroft.bookkeeping.waiting import Waiting
 from gladecroft.protocol.settings import Team
 from gladecroft.protocol.wire import JobSpec, Kind, decode
 
@@ -36,6 +37,7 @@
         self.policy_news: Callable[[str, str, bytes | None], None] | None = None
         self.policy_reset: Callable[[], None] | None = None
         self._team_names = {rec.team_key(team.name): team.name for team in teams}
+        self.resets = 0
         self.reset()
 
     def reset(self) -> None:
@@ -59,17 +61,19 @@
         #: Machines whose wanted tasks changed since the owner last looked, and the same for the placers.
         self.touched: set[str] = set()
         self.stale: set[str] = set()
-        #: Counts every change taken in, and the changes that bear on which jobs are within a guarantee.
+        #: Counts every change taken in.
         self.changes = 0
-        self.job_changes = 0
         #: Jobs with tasks that wait, jobs that are over, gangs: so that nobody has to look through all jobs.
         self.queued: dict[str, Job] = {}
         self.over: dict[str, Job] = {}
         self.gangs: dict[str, Job] = {}
         self.gang_teams: dict[str, int] = {}
-        self._guaranteed: tuple[int, set[str]] = (-1, set())
-        #: Teams that have more unfinished work than their guarantee, as of when that was last worked out.
-        self.crowded: set[str] = set()
+        self._guarantees = Guarantees(self.limits)
+        #: Sums over what is unfinished.
+        self.waiting = Waiting()
+        #: Jobs of which the order of waiting work has not taken notice yet; counts how often all began anew.
+        self.requeued: set[str] = set()
+        self.resets += 1
         #: Attempts that this controller knows to have ended, though the records don't say so yet. They take no room.
         self.ended: dict[TaskKey, int] = {}
         #: Machines that have lost their work and of which no record or owner has said anything since.
@@ -183,7 +187,6 @@
         job = self.jobs.get(name)
         if job is None:
             job = self.jobs[name] = Job(record, version, self.size)
-            self.job_changes += 1
             if job.spec.kind is Kind.GANG:
                 self.gangs[name] = job
                 self.gang_teams[job.spec.team] = self.gang_teams.get(job.spec.team, 0) + 1
@@ -193,14 +196,16 @@
             was_cancelled = job.cancelled
             job.record, job.version = record, version
             if record.cancelled and not was_cancelled:
-                self.job_changes += 1
                 machines = {task.machine for _, task in job.placed()}
                 self.touched.update(machines)
                 self.stale.update(machines)
+        self._guarantees.note(job)
         self._sort_in(job)
 
     def _sort_in(self, job: Job) -> None:
         """Keep the lists of waiting and of finished jobs."""
+        self.requeued.add(job.id)
+        self.waiting.note(job)
         if job.queued_count:
             self.queued[job.id] = job
         else:
@@ -214,7 +219,9 @@
         job = self.jobs.pop(name, None)
         if job is None:
             return
-        self.job_changes += 1
+        self.requeued.add(name)
+        self.waiting.forget(job)
+        self._guarantees.forget(job)
         if name in self.gangs:
             self.gang_teams[job.spec.team] -= 1
         for jobs in (self.queued, self.over, self.gangs):
@@ -242,6 +249,7 @@
         base = index * self.size
         old = job.chunks.get(index)
         occupied = job.occupied
+        job.changed()
         for offset in range(job.chunk_length(index)):
             before = old[offset] if old is not None else EMPTY
             after = chunk[offset] if chunk is not None else EMPTY
@@ -325,14 +333,16 @@
         return never_runs(self.limits, spec)
 
     def guaranteed(self) -> set[str]:
-        """Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs."""
-        if self._guaranteed[0] == self.job_changes:
-            return self._guaranteed[1]
-        inside, crowded = within_guarantees(self.limits, self.jobs.values())
-        self.crowded = crowded
-        for name in inside ^ self._guaranteed[1]:
+        """Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs. The set is the
+        picture's own and changes with it."""
+        for name in self._guarantees.refresh(self.jobs):
+            self.requeued.add(name)
             changed = self.jobs.get(name)
             if changed is not None:
                 self.stale.update(task.machine for _, task in changed.placed())
-        self._guaranteed = (self.job_changes, inside)
-        return inside
+        return self._guarantees.inside
+
+    @property
+    def crowded(self) -> set[str]:
+        """Teams that have more unfinished work than their guarantee, as of when that was last worked out."""
+        return self._guarantees.crowded
--- a/src/gladecroft/bookkeeping/teams.py
+++ b/src/gladecroft/bookkeeping/teams.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from gladecroft.bookkeeping.job import Job
 from gladecroft.protocol.settings import Team
@@ -34,24 +35,69 @@
             del sizes[size]
 
 
-def within_guarantees(limits: Mapping[str, Team], jobs: Iterable[Job]) -> tuple[set[str], set[str]]:
-    """The jobs that fit into their team's guarantee along with the team's earlier unfinished jobs, and the teams that
-    have more unfinished work than their guarantee."""
-    inside: set[str] = set()
-    crowded: set[str] = set()
-    sums: dict[str, list[float]] = {}
-    for job in sorted(jobs, key=lambda job: (job.record.accepted_ms, job.id)):
-        team = limits.get(job.spec.team)
-        if team is None or job.cancelled:
-            continue
-        total = sums.setdefault(job.spec.team, [0.0, 0.0])
-        total[0] += job.spec.cpus * job.spec.tasks
-        total[1] += job.spec.gpus * job.spec.tasks
-        if total[0] <= team.cpus + 1e-9 and total[1] <= team.gpus + 1e-9:
-            inside.add(job.id)
-        else:
-            crowded.add(job.spec.team)
-    return inside, crowded
+class Guarantees:
+    """Which jobs fit into their team's guarantee along with the team's earlier unfinished jobs.
+
+    Only teams of which jobs have come or gone are worked out anew, and of these only the jobs up to the first that no
+    longer fits: what waits behind it costs nothing.
+    """
+
+    def __init__(self, limits: Mapping[str, Team]) -> None:
+        self._limits = limits
+        #: The jobs within their team's guarantee, and the teams that have more unfinished work than that.
+        self.inside: set[str] = set()
+        self.crowded: set[str] = set()
+        self._order: dict[str, list[tuple[int, str]]] = {}
+        self._places: dict[str, tuple[int, str]] = {}
+        self._inside: dict[str, set[str]] = {}
+        self._stale: set[str] = set()
+
+    def note(self, job: Job) -> None:
+        """A job has come, or has been cancelled: then it counts no more."""
+        if (job.id in self._places) is not job.cancelled:
+            return
+        if job.cancelled:
+            self.forget(job)
+        elif job.spec.team in self._limits:
+            place = self._places[job.id] = (job.record.accepted_ms, job.id)
+            insort(self._order.setdefault(job.spec.team, []), place)
+            self._stale.add(job.spec.team)
+
+    def forget(self, job: Job) -> None:
+        place = self._places.pop(job.id, None)
+        if place is not None:
+            order = self._order[job.spec.team]
+            del order[bisect_left(order, place)]
+            self._stale.add(job.spec.team)
+
+    def refresh(self, jobs: Mapping[str, Job]) -> set[str]:
+        """Bring ``inside`` and ``crowded`` up to date; the jobs for which something has changed."""
+        changed: set[str] = set()
+        for team in self._stale:
+            before = self._inside.get(team, set())
+            inside, crowded = self._within(team, jobs)
+            if crowded is not (team in self.crowded):
+                changed |= inside
+            (self.crowded.add if crowded else self.crowded.discard)(team)
+            changed |= inside ^ before
+            self._inside[team] = inside
+            self.inside -= before
+            self.inside |= inside
+        self._stale.clear()
+        return changed
+
+    def _within(self, team: str, jobs: Mapping[str, Job]) -> tuple[set[str], bool]:
+        inside: set[str] = set()
+        limit = self._limits[team]
+        cpus = gpus = 0.0
+        for _, name in self._order[team]:
+            spec = jobs[name].spec
+            cpus += spec.cpus * spec.tasks
+            gpus += spec.gpus * spec.tasks
+            if cpus > limit.cpus + 1e-9 or gpus > limit.gpus + 1e-9:
+                return inside, True  # the sums only grow
+            inside.add(name)
+        return inside, False
 
 
 def never_runs(limits: Mapping[str, Team], spec: JobSpec) -> str | None:
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from datetime import timedelta
 
 import msgspec
@@ -18,6 +19,7 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers import MOVED, Placers
+from gladecroft.coordination.placers.lineup import Round, Row
 from gladecroft.policies.seam import Demand
 from gladecroft.protocol.wire import Kind
 
@@ -69,21 +71,24 @@
 
     def _plan(self) -> None:
         now, placers = self.node.now, self.placers
-        guaranteed = self.picture.guaranteed()
+        waiting = self.picture.waiting
         bins = self._bins()
         for booking in self.market.bookings.values():
             kind = placers.types.get(booking.sort[0])
             if kind is not None:
                 bins += [empty_bin(booking.sort, kind) for _ in range(booking.count)]
-        waiting = placers.waiting()
         dear_cpus = self._dear_room(bins)
-        placers.floor.refresh(guaranteed)
+        placers.lineup.refresh(self.node.wall.timestamp())
+        placers.floor.refresh(self.picture.guaranteed())
         # Only bins that can still hold something are looked through.
-        smallest = min((job.spec.cpus for job in waiting), default=0.0)
-        plan = Plan(self._terms(), Room(bins, smallest), dear_cpus, placers.spare_cpus(), self._count_zones())
-        pressing = placers.queue.pressing(guaranteed)
-        for job in placers.queue.order(waiting, pressing):
-            plan.fill(job, job.rank <= placers.line or job.id in pressing)
+        room = Room(bins, waiting.smallest())
+        plan = Plan(self._terms(), room, dear_cpus, placers.spare_cpus(), self._count_zones())
+        round_ = placers.lineup.round()
+        for job, row in round_:
+            if placers.held(job):
+                continue
+            if not plan.fill(job, job.rank <= placers.line or placers.lineup.pressing(job)):
+                self._pass_over(round_, row, job)
         if self.node.panel is not None:
             for demand in self.node.panel.demand():
                 if self._is_time_for(demand):
@@ -91,10 +96,18 @@
         self.market.rent(plan.want)
         # Machines that waiting work is about to take are not idle.
         self._give_back(now, {bin.machine for bin in bins if bin.machine and bin.taken})
-        self._consolidate(now, bool(plan.want) or not self._few(waiting), bool(waiting))
+        self._consolidate(now, bool(plan.want) or not self._few(waiting.cpus), bool(self.picture.queued))
         for name in [name for name in self._idle_since if name not in self.picture.machines]:
             del self._idle_since[name]
 
+    @staticmethod
+    def _pass_over(round_: Round, row: Row, job: Job) -> None:
+        """Nothing up or to be had holds all of a job: the same goes for equal and bigger ones of its row."""
+        round_.lacks(row, job)
+        spec, small = job.spec, round_.smallest(row).spec
+        if small.cpus >= spec.cpus and small.gpus >= spec.gpus and small.memory_gb >= spec.memory_gb:
+            round_.skip(row)
+
     def _terms(self) -> Terms:
         return Terms(
             self.placers.types,
@@ -163,12 +176,10 @@
             in_zone[coming.sort[1]] = in_zone.get(coming.sort[1], 0) + 1
         return in_zone
 
-    def _limit_room(self, job: Job) -> int:
-        limit = self.picture.limits[job.spec.team]
-        used = self.picture.used_by_team(job.spec.team)
-        if job.spec.cpus <= 0 or not limit.cpus_max:
-            return job.queued_count
-        return max(0, int((limit.cpus_max - used[0] + 1e-6) / job.spec.cpus))
+    def _limit_room(self, team: str) -> float:
+        """How many more cores the team's limit lets its tasks take."""
+        most = self.picture.limits[team].cpus_max
+        return most - self.picture.used_by_team(team)[0] if most else math.inf
 
     def _dear_room(self, bins: list[Bin]) -> float:
         def held(machine: str) -> float:
@@ -180,7 +191,7 @@
 
         cpus_of = {kind.name: kind.cpus for kind in self.placers.types.values()}
         patience = self.placers.queue.patience
-        return dear_room(self.picture.jobs.values(), bins, cpus_of, held, self._limit_room, patience, DEAR_AFTER)
+        return dear_room(self.picture.waiting.work, bins, cpus_of, held, self._limit_room, patience, DEAR_AFTER)
 
     def _used_cpus(self) -> float:
         return sum(self.picture.used_on(name)[0] for name in self.picture.machines)
@@ -189,13 +200,13 @@
         kind = self.placers.types[record.type]
         return kind.spot_price if record.spot else kind.price
 
-    def _few(self, waiting: list[Job]) -> bool:
+    def _few(self, waiting_cpus: float) -> bool:
         """Whether no more waits and boots than what a fleet of this size always has. In a small one: nothing."""
         few = len(self.picture.machines) // MACHINES_PER_FEW
         if len(self.market.coming) > few or len(self.market.bookings) > few:
             return False
         per_machine = max((kind.cpus for kind in self.placers.types.values()), default=0.0)
-        return sum(job.queued_count * job.spec.cpus for job in waiting) <= few * per_machine
+        return waiting_cpus <= few * per_machine + 1e-6
 
     # Giving back ---------------------------------------------------------------------------------------------
 
--- a/src/gladecroft/coordination/fleet/plan.py
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -89,8 +90,8 @@
     allowed: Callable[[JobSpec, str, str, bool], bool]
     #: The tasks of a job in each zone, and how many may be in one.
     zone_room: Callable[[Job], tuple[dict[str, int], int]]
-    #: How many of a job's waiting tasks its team's limit lets run.
-    limit_room: Callable[[Job], int]
+    #: How many more cores a team's limit lets its tasks take.
+    limit_room: Callable[[str], float]
     #: Sorts that are not asked for now, and how many of others at the most.
     closed: Collection[MachineSort] = ()
     at_most: Mapping[MachineSort, int] = field(default_factory=dict)
@@ -109,31 +110,41 @@
     spare: float
     in_zone: dict[str, int]
     want: dict[MachineSort, int] = field(default_factory=dict)
+    #: What is left of each team's limit, once asked for.
+    may_run: dict[str, float] = field(default_factory=dict)
 
-    def fill(self, job: Job, everywhere: bool) -> None:
+    def fill(self, job: Job, everywhere: bool) -> bool:
         """Put a job's waiting tasks into bins, opening new ones by the cheapest kinds. ``everywhere``: work of high
-        priority or within a guarantee, from which no reserve is kept."""
+        priority or within a guarantee, from which no reserve is kept. False if no room is to be had for the rest."""
         spec = job.spec
-        left = min(job.queued_count, self.terms.limit_room(job))
+        left = job.queued_count
+        if spec.cpus > 0:
+            may_run = self.may_run.get(spec.team)
+            if may_run is None:
+                may_run = self.may_run[spec.team] = self.terms.limit_room(spec.team)
+            if may_run < left * spec.cpus:
+                left = int((may_run + 1e-6) / spec.cpus)
         zones, cap = self.terms.zone_room(job) if spec.spread or spec.one_zone else ({}, spec.tasks)
         only: str | None = next(iter(zones)) if spec.one_zone and zones else None
         if left <= 0:
-            return
+            return False
+        self.may_run[spec.team] = self.may_run.get(spec.team, math.inf) - left * spec.cpus
         left = self._fill_open(job, left, zones, cap, only, everywhere)
         while left > 0:
             sort = self._cheapest(job, zones, cap, only)
             if sort is None:
-                return
+                return False
             bin = empty_bin(sort, self.terms.types[sort[0]])
             count = min(left, bin.holds(job), cap - zones.get(sort[1], 0))
             if count <= 0:
-                return
+                return False
             bin.take(job, count)
             self.room.add(bin)
             self.in_zone[sort[1]] = self.in_zone.get(sort[1], 0) + 1
             self.want[sort] = self.want.get(sort, 0) + 1
             zones[sort[1]] = zones.get(sort[1], 0) + count
             left -= count
+        return True
 
     def _fill_open(
         self, job: Job, left: int, zones: dict[str, int], cap: int, only: str | None, everywhere: bool
--- a/src/gladecroft/coordination/fleet/shrink.py
+++ b/src/gladecroft/coordination/fleet/shrink.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.waiting import Group, Work
 from gladecroft.coordination.fleet.plan import Bin
 from gladecroft.protocol.wire import JobSpec, Kind
 
@@ -78,26 +79,28 @@
 
 
 def dear_room(
-    jobs: Iterable[Job],
+    work: Mapping[Group, Work],
     bins: Iterable[Bin],
     cpus_of: Mapping[str, float],
     held_by_services: Callable[[str], float],
-    runnable: Callable[[Job], int],
-    patience: Callable[[Job], float],
+    runnable: Callable[[str], float],
+    patience: Callable[[str], float],
     share: float,
 ) -> float:
     """How many cores may be rented dear for work that cheap machines could do.
 
     That is what is missing to get through the work at hand within the time the aims allow, not what it would take to
-    start everything at once: by the time a machine is up, much of the running work is over. ``share``: the part of a
-    class's patience within which its waiting work should be through.
+    start everything at once: by the time a machine is up, much of the running work is over. ``runnable``: how many
+    more cores a team's limit allows; ``share``: the part of a class's patience within which its waiting work should be
+    through.
     """
+    asked: dict[str, float] = {}
+    for (team, _), each in work.items():
+        asked[team] = asked.get(team, 0.0) + each.waiting_cpus
     needed = 0.0
-    for job in jobs:
-        spec = job.spec
-        if spec.kind is Kind.ARRAY and spec.spot:
-            tasks = min(job.queued_count, runnable(job)) + job.occupied / 2
-            needed += tasks * spec.cpus * spec.estimate_s / (share * patience(job))
+    for (team, job_class), each in work.items():
+        may_run = min(1.0, max(0.0, runnable(team)) / asked[team]) if asked[team] > 0 else 1.0
+        needed += (each.waiting * may_run + each.running / 2) / (share * patience(job_class))
     room = 0.0
     for bin in bins:
         room += cpus_of[bin.sort[0]] - (held_by_services(bin.machine) if bin.machine else 0.0)
--- a/src/gladecroft/coordination/ledger/closing.py
+++ b/src/gladecroft/coordination/ledger/closing.py
@@ -34,17 +34,13 @@
     machines, not for the limit. When all their ends were noted at once these took three of four changes, three
     tasks to a write, and room stood empty for want of changes to place on it.
     """
-    waiting: dict[str, float] = {}
-    biggest: dict[str, float] = {}
-    for job in picture.queued.values():
-        team = job.spec.team
-        waiting[team] = waiting.get(team, 0.0) + job.queued_count * job.spec.cpus
-        biggest[team] = max(biggest.get(team, 0.0), job.spec.cpus)
     bound: set[str] = set()
-    for team, cpus in waiting.items():
+    for team, waits in picture.waiting.teams.items():
+        if not waits.jobs:
+            continue
         limit = picture.limits[team]
         left = limit.most_cpus - picture.used_by_team(team)[0]
-        if limit.gpus_max or left < min(cpus, max(NEAR_LIMIT * limit.most_cpus, biggest[team])):
+        if limit.gpus_max or left < min(waits.cpus, max(NEAR_LIMIT * limit.most_cpus, waits.sizes[-1])):
             bound.add(team)
     return bound
 
--- a/src/gladecroft/coordination/ledger/ledger.py
+++ b/src/gladecroft/coordination/ledger/ledger.py
@@ -150,18 +150,19 @@
             return
         self._weighed_at = self.node.now
         mine = total = 0
-        for job in self.picture.jobs.values():
-            # What waits or will end soon is written about; a service that runs is not.
-            weight = 1 if job.queued_count or job.spec.kind is not wire.Kind.SERVICE else 0
-            total += weight
-            mine += weight * (self.membership.job_home(job.spec) == self.node.name)
+        # What waits or will end soon is written about; a service that runs is not.
+        for team, waits in self.picture.waiting.teams.items():
+            total += waits.weight
+            mine += waits.weight * (self.membership.home(team) == self.node.name)
         if total:
             self.node.weigh(mine / total)
 
     def _urgent(self) -> bool:
         """Whether work of the highest priority waits here."""
         me = self.node.name
-        return any(not job.rank and self.membership.job_home(job.spec) == me for job in self.picture.queued.values())
+        return any(
+            waits.urgent and self.membership.home(team) == me for team, waits in self.picture.waiting.teams.items()
+        )
 
     # Teams --------------------------------------------------------------------------------------------------
 
@@ -185,8 +186,8 @@
         if self.membership.incarnation is None:
             return
         record = rec.TeamRecord(self.node.name, self.membership.incarnation)
-        for team in {job.spec.team: None for job in self.picture.queued.values()}:
-            if self.membership.home(team) != self.node.name:
+        for team, waits in self.picture.waiting.teams.items():
+            if not waits.jobs or self.membership.home(team) != self.node.name:
                 continue
             if (self.picture.teams.get(team) != record or team in self.unsure) and change.room(1, 0):
                 change.put(rec.team_key(team), record)
--- a/src/gladecroft/coordination/placers/gangs.py
+++ b/src/gladecroft/coordination/placers/gangs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from gladecroft.bookkeeping.change import Change
 from gladecroft.bookkeeping.job import Job
@@ -26,7 +27,7 @@
         chooser: Chooser,
         stops: Stops,
         writer: Writer,
-        waits: dict[str, str],
+        wait: Callable[[str, str], None],
     ) -> None:
         self.node = node
         self.picture = node.picture
@@ -35,16 +36,16 @@
         self.chooser = chooser
         self.stops = stops
         self.writer = writer
-        self.waits = waits
+        self.wait = wait
 
     def place(self, change: Change, job: Job, inside: bool, home: str, most: int) -> int:
         """Place all of a gang's tasks in one transaction, or none; room is made for it only if all then fit."""
         tasks = list(job.queued_tasks())
         if len(tasks) + job.done < job.spec.tasks:
-            self.waits[job.id] = "waiting for the rest of the gang to stop"
+            self.wait(job.id, "waiting for the rest of the gang to stop")
             return 0
         if len(tasks) > min(change.team_room(job), most):
-            self.waits[job.id] = "the team's limit leaves no room for the whole gang"
+            self.wait(job.id, "the team's limit leaves no room for the whole gang")
             return 0
         need = need_of(job, inside, home)
         slots = self.floor.slots
@@ -59,15 +60,15 @@
             for offer in offers:
                 for victim in offer.victims:
                     victim.stopping = False
-            self.waits[job.id] = "no room for the whole gang"
+            self.wait(job.id, "no room for the whole gang")
             return 0
         if home != self.node.name:
             return len(tasks)
         if not self.ledger.claimed(job.spec.team):
-            self.waits[job.id] = "about to be placed"
+            self.wait(job.id, "about to be placed")
             return len(tasks)
         if pending:
-            self.waits[job.id] = "waiting for evicted work to stop"
+            self.wait(job.id, "waiting for evicted work to stop")
             victims = [victim for offer in offers for victim in offer.victims]
             stopped = sum(
                 self.stops.stop_with_gang(change, self.picture.jobs[victim.job], victim.number, f"evicted for {job.id}")
@@ -82,9 +83,9 @@
         # Where a transaction can't hold all the machine records, being conditional on them must do.
         bump = change.room(chunks + foreign, 1, len(places))
         if not bump and not change.room(chunks, 1, len(places)):
-            self.waits[job.id] = "about to be placed"
+            self.wait(job.id, "about to be placed")
             return len(tasks)
-        self.waits.pop(job.id, None)
+        self.wait(job.id, "")
         for number, offer in zip(tasks, offers, strict=True):
             self.writer.put(change, job, number, change.task(job, number), offer.slot, bump)
         return len(tasks)
--- /dev/null
+++ b/src/gladecroft/coordination/placers/lineup.py
@@ -0,0 +1,226 @@
+"""The waiting jobs in the order in which they are planned, kept from round to round.
+
+Jobs that look for the same room stand in one *row*. A round takes the rows' foremost jobs in turn; a row for which no
+room is left is closed, and nothing behind its first job is looked at. Only jobs that have changed, or whose turn
+changes with the time, are put in their places anew. So what a round costs grows with the rows and with what it places,
+not with what waits: going through all that waited took two thirds of a controller's time in a flood.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+
+from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.picture import Picture
+from gladecroft.coordination.placers.queue import Queue
+from gladecroft.policies import Panel
+from gladecroft.protocol.wire import Kind
+
+#: Where a job stands in its row: how much it is past helping, its work in core-seconds, its name.
+Place = tuple[int, float, str]
+#: Cores, cards and memory of a task, and the job's name.
+Size = tuple[float, float, float, str]
+
+
+class Row:
+    """Jobs of one team and class, alike in privilege, priority and in the machines that they may use."""
+
+    __slots__ = ("key", "team", "job_class", "privilege", "places", "sizes", "why", "why_round")
+
+    def __init__(self, key: tuple[Any, ...], job: Job, pressing: bool) -> None:
+        self.key = key
+        self.team = job.spec.team
+        self.job_class = job.spec.job_class
+        #: Work within a guarantee first, then by priority.
+        self.privilege = (not pressing, job.rank)
+        self.places: list[Place] = []
+        self.sizes: list[Size] = []
+        #: Why the row was last closed, and in which round.
+        self.why = ""
+        self.why_round = -1
+
+
+class Entry(msgspec.Struct, eq=False):
+    row: Row
+    place: Place
+    size: Size
+    pressing: bool
+    #: When its place may change with the time, by the time of day in seconds.
+    due: float
+
+
+class Lineup:
+    def __init__(self, picture: Picture, queue: Queue, panel: Panel | None = None) -> None:
+        self.picture = picture
+        self.panel = panel
+        self.queue = queue
+        self.rounds = 0
+        #: How many jobs have been put in their places so far.
+        self.sorted = 0
+        self._resets = -1
+        self._rows: dict[tuple[Any, ...], Row] = {}
+        self._entries: dict[str, Entry] = {}
+        self._due: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def rows(self) -> int:
+        return len(self._rows)
+
+    def pressing(self, job: Job) -> bool:
+        """Whether the job comes first, and may evict, for its team's guarantee, as of the last ``refresh``."""
+        entry = self._entries.get(job.id)
+        return entry is not None and entry.pressing
+
+    def refresh(self, now: float) -> None:
+        """Put the jobs in their places that have changed, or whose time has come. ``now``: the time of day."""
+        picture = self.picture
+        guaranteed = picture.guaranteed()
+        if self._resets != picture.resets:
+            self._resets = picture.resets
+            self._rows.clear()
+            self._entries.clear()
+            self._due.clear()
+            picture.requeued.update(picture.queued)
+        moved, picture.requeued = picture.requeued, set()
+        while self._due and self._due[0][0] <= now:
+            moved.add(heapq.heappop(self._due)[1])
+        for name in moved:
+            job = picture.queued.get(name)
+            self._set(name, job, job is not None and self.queue.is_pressing(job, guaranteed), now)
+        if len(self._due) > 4 * len(self._entries) + 100:
+            self._due = [(entry.due, name) for name, entry in self._entries.items() if entry.due < float("inf")]
+            heapq.heapify(self._due)
+
+    def _set(self, name: str, job: Job | None, pressing: bool, now: float) -> None:
+        old = self._entries.get(name)
+        if job is None:
+            if old is not None:
+                self._take_out(old)
+                del self._entries[name]
+            return
+        turn, work, due = self.queue.turn(job)
+        key = row_key(job, pressing, self.panel is not None and self.panel.by_job())
+        place = (turn, work, name)
+        if old is not None:
+            if old.row.key == key and old.place == place and old.due == due:
+                return
+            self._take_out(old)
+        self.sorted += 1
+        row = self._rows.get(key)
+        if row is None:
+            row = self._rows[key] = Row(key, job, pressing)
+        spec = job.spec
+        size = (spec.cpus, spec.gpus, spec.memory_gb, name)
+        self._entries[name] = Entry(row, place, size, pressing, due)
+        insort(row.places, place)
+        insort(row.sizes, size)
+        if due < float("inf"):
+            # A due that has passed already is looked at again with the next round, not in this one.
+            heapq.heappush(self._due, (max(due, now + 1e-3), name))
+
+    def _take_out(self, entry: Entry) -> None:
+        row = entry.row
+        del row.places[bisect_left(row.places, entry.place)]
+        del row.sizes[bisect_left(row.sizes, entry.size)]
+        if not row.places:
+            del self._rows[row.key]
+
+    def round(self, tier: Callable[[Row], int] | None = None) -> Round:
+        """Begin a round; ``refresh`` comes before it. ``tier``: what comes before privilege and priority, lowest
+        first; it may rise in the course of a round."""
+        self.rounds += 1
+        return Round(self.picture.queued, list(self._rows.values()), self.rounds, tier)
+
+    def why(self, job: Job) -> tuple[int, str]:
+        """In which round the job's row was last closed, and why."""
+        entry = self._entries.get(job.id)
+        return (-1, "") if entry is None else (entry.row.why_round, entry.row.why)
+
+
+def row_key(job: Job, pressing: bool, by_job: bool = False) -> tuple[Any, ...]:
+    spec = job.spec
+    alone = ""
+    if by_job or spec.kind is Kind.GANG or ((spec.one_zone or spec.spread) and job.occupied):
+        # What room it looks for depends on where its other tasks are, or on what policies say of it alone.
+        alone = job.id
+    return (
+        spec.team,
+        spec.job_class,
+        not pressing,
+        job.rank,
+        tuple(spec.types) if spec.types is not None else None,
+        spec.zone,
+        spec.spot,
+        spec.spread,
+        spec.one_zone,
+        alone,
+    )
+
+
+class Round:
+    """One going through the rows. What is iterated over must not be refreshed meanwhile."""
+
+    def __init__(
+        self, jobs: dict[str, Job], rows: list[Row], number: int, tier: Callable[[Row], int] | None = None
+    ) -> None:
+        self._jobs = jobs
+        self.number = number
+        self._tier = tier
+        self._closed: set[int] = set()
+        #: Sizes that found no room, by row.
+        self._lacking: dict[int, list[Size]] = {}
+        self._heads = [
+            (0 if tier is None else tier(row), row.privilege, row.places[0], 0, index, row)
+            for index, row in enumerate(rows)
+        ]
+        heapq.heapify(self._heads)
+
+    def __iter__(self) -> Iterator[tuple[Job, Row]]:
+        heads, tier = self._heads, self._tier
+        while heads:
+            level, privilege, place, at, index, row = heapq.heappop(heads)
+            if tier is not None:
+                now = tier(row)
+                if now > level:  # it has got what put it first
+                    heapq.heappush(heads, (now, privilege, place, at, index, row))
+                    continue
+            yield self._jobs[place[2]], row
+            if id(row) in self._closed:
+                continue
+            lacking = self._lacking.get(id(row))
+            for after in range(at + 1, len(row.places)):
+                place = row.places[after]
+                if lacking is None or not self._too_big(self._jobs[place[2]], lacking):
+                    heapq.heappush(heads, (level, privilege, place, after, index, row))
+                    break
+
+    @staticmethod
+    def _too_big(job: Job, lacking: list[Size]) -> bool:
+        spec = job.spec
+        return any(
+            spec.cpus >= cpus and spec.gpus >= gpus and spec.memory_gb >= memory for cpus, gpus, memory, _ in lacking
+        )
+
+    def smallest(self, row: Row) -> Job:
+        return self._jobs[row.sizes[0][3]]
+
+    def close(self, row: Row, why: str) -> None:
+        """Nothing more of the row is looked at in this round, for a reason that its jobs' users are told."""
+        self.skip(row)
+        row.why, row.why_round = why, self.number
+
+    def skip(self, row: Row) -> None:
+        self._closed.add(id(row))
+
+    def lacks(self, row: Row, job: Job) -> None:
+        """A job of the row has found no room; equal and bigger ones of the row are passed over in this round."""
+        spec = job.spec
+        self._lacking.setdefault(id(row), []).append((spec.cpus, spec.gpus, spec.memory_gb, job.id))
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -15,6 +15,7 @@
 from gladecroft.coordination.placers.choice import Chooser, claim, need_of, one_zone, zone_room
 from gladecroft.coordination.placers.floor import Floor
 from gladecroft.coordination.placers.gangs import Gangs
+from gladecroft.coordination.placers.lineup import Lineup, Round, Row
 from gladecroft.coordination.placers.placement import TINY, HighPlacer, LowSide, Need, Offer, Ranking, Resident, Slot
 from gladecroft.coordination.placers.queue import Queue
 from gladecroft.coordination.placers.stops import Stops
@@ -24,6 +25,9 @@
 log = logging.getLogger(__name__)
 
 MOST_PER_ROUND = 400
+NO_ROOM = "no machine has room"
+NO_MACHINE = "no allowed machine is up"
+LIMIT = "the team's limit is used up"
 BACK_OFF_MOST = 64.0
 
 
@@ -39,10 +43,14 @@
         high = HighPlacer(node.operator.offer_top, node.operator.spot_avoiding)
         self.chooser = Chooser(high, LowSide(), self.line)
         self.queue = Queue(node)
+        #: All waiting work in the order in which it is planned.
+        self.lineup = Lineup(node.picture, self.queue, node.panel)
         self.stops = Stops(node, membership, self.floor, self.chooser)
         self.writer = Writer(node, self.floor)
-        self.waits: dict[str, str] = {}
-        self.gangs = Gangs(node, ledger, self.floor, self.chooser, self.stops, self.writer, self.waits)
+        #: Why jobs wait that a round has gone through, and the round. Of the others their row tells.
+        self.waits: dict[str, tuple[int, str]] = {}
+        self._short = ""
+        self.gangs = Gangs(node, ledger, self.floor, self.chooser, self.stops, self.writer, self.wait)
         self._retry: dict[tuple[str, int, int], timedelta] = {}
         #: Needs for which this round has found no room, by what kind of room it looked for.
         self._no_room: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
@@ -79,43 +87,70 @@
         out: what others are about to take is left to them. Without this two homes took the same room, and room freed
         by an eviction went to the next borrower, who was evicted again.
         """
-        me = self.node.name
+        node = self.node
         if len(self.waits) > 2 * len(self.picture.queued) + 100:
             for name in [name for name in self.waits if name not in self.picture.queued]:
                 del self.waits[name]
-        waiting = self.waiting()
-        homes = {job.id: self.membership.job_home(job.spec) or "" for job in waiting}
         self.ledger.planned = 0
-        if me not in homes.values():
+        if not self._any_of_ours():
             return
-        guaranteed = self.picture.guaranteed()
-        self.floor.refresh(guaranteed)
+        self.lineup.refresh(node.wall.timestamp())
+        self.floor.refresh(self.picture.guaranteed())
         self._no_room.clear()
         self._no_room_why.clear()
         self._spare = self.spare_cpus()
         most = MOST_PER_ROUND
-        pressing = self.queue.pressing(guaranteed)
-        for job in self.queue.order(waiting, pressing):
-            place = self.gangs.place if job.spec.kind is Kind.GANG else self._place_job
+        round_ = self.lineup.round()
+        for job, row in round_:
             self.ledger.planned += 1
-            most -= place(change, job, job.id in pressing, homes[job.id], most)
+            if self.held(job):
+                continue
+            home = self.membership.job_home(job.spec) or ""
+            place = self.gangs.place if job.spec.kind is Kind.GANG else self._place_job
+            self._short = ""
+            most -= place(change, job, self.lineup.pressing(job), home, most)
             # Once the transaction is full there is nothing more to carry out; the next round plans anew.
             if most <= 0 or not change.room(1, 0):
                 break
+            if self._short:
+                self._give_up(round_, row, job, change)
 
-    def waiting(self) -> list[Job]:
-        """The jobs with tasks that may start, as far as no policy holds them."""
+    def _any_of_ours(self) -> bool:
+        """Whether any waiting task is ours to place."""
+        me = self.node.name
+        return any(
+            waits.jobs and self.membership.home(team) == me for team, waits in self.picture.waiting.teams.items()
+        )
+
+    def _give_up(self, round_: Round, row: Row, job: Job, change: Change) -> None:
+        """A job could not be placed whole: close its row if that goes for the smallest in it too."""
+        why = self._short
+        smallest = round_.smallest(row)
+        if why == NO_MACHINE:
+            round_.close(row, why)
+        elif why == LIMIT:
+            if change.team_room(smallest) <= 0:
+                round_.close(row, why)
+        else:
+            round_.lacks(row, job)
+            spec, small = job.spec, smallest.spec
+            if small.cpus >= spec.cpus and small.gpus >= spec.gpus and small.memory_gb >= spec.memory_gb:
+                round_.close(row, why)
+
+    def held(self, job: Job) -> bool:
+        """Whether a policy says that the job's tasks may not start yet."""
         panel = self.node.panel
-        if panel is None or not panel.holds():
-            return list(self.picture.queued.values())
-        free: list[Job] = []
-        for job in self.picture.queued.values():
-            why = panel.hold(job)
-            if why is None:
-                free.append(job)
-            elif self.membership.job_home(job.spec) == self.node.name:
-                self.waits[job.id] = why
-        return free
+        why = panel.hold(job) if panel is not None and panel.holds() else None
+        if why is not None and self.membership.job_home(job.spec) == self.node.name:
+            self.wait(job.id, why)
+        return why is not None
+
+    def wait(self, job: str, why: str) -> None:
+        """Note why a job waits; empty: it does no more."""
+        if why:
+            self.waits[job] = (self.lineup.rounds, why)
+        else:
+            self.waits.pop(job, None)
 
     def spare_cpus(self) -> float:
         """What is free on machines with high-priority work, less a reserve for more of that.
@@ -166,12 +201,14 @@
         usable: list[Slot] = []
         if room > 0 and not spec.one_zone and self._lacks_room(where, need) and self._lacks_room(push, need):
             room = 0
-            why = "no machine has room"
+            why = self._short = NO_ROOM
             if where in self._no_room_why:
                 self.floor.refusals.setdefault(job.id, self._no_room_why[where])
         for number in job.queued_tasks():
             if taken >= room:
-                why = why or "the team's limit is used up"
+                if not why and room < most:
+                    self._short = LIMIT
+                why = why or LIMIT
                 break
             before = change.task(job, number)
             if before.state is not TaskState.QUEUED or not self._due(job.id, number, before):
@@ -192,7 +229,9 @@
                         self._no_room.setdefault(key, []).append((need.cpus, need.gpus, need.memory_gb))
                     if job.id in self.floor.refusals:
                         self._no_room_why[where] = self.floor.refusals[job.id]
-                why = "no machine has room" if usable else "no allowed machine is up"
+                why = NO_ROOM if usable else NO_MACHINE
+                if not spec.spread or not zones:
+                    self._short = why
                 break
             slot = offer.slot
             taken += 1
@@ -226,9 +265,8 @@
                 why = why or "about to be placed"
             if why:
                 refusal = self.floor.refusals.get(job.id)
-                self.waits[job.id] = why if refusal is None else f"{why}; {refusal}"
-            else:
-                self.waits.pop(job.id, None)
+                why = why if refusal is None else f"{why}; {refusal}"
+            self.wait(job.id, why)
             if evicted:
                 # Recorded once per job and round.
                 log.info("%s evicts %d tasks", job.id, evicted)
@@ -268,11 +306,8 @@
         if job.queued_count:
             panel = self.node.panel
             held = panel.hold(job) if panel is not None and panel.holds() else None
-            parts.append(held or self.waits.get(job.id, "waiting to be placed"))
-            notes: dict[str, int] = {}
-            for chunk in job.chunks.values():
-                for task in chunk:
-                    if task.note and task.state is TaskState.QUEUED:
-                        notes[task.note] = notes.get(task.note, 0) + 1
-            parts += [f"{note} ({count})" for note, count in sorted(notes.items(), key=lambda item: -item[1])[:3]]
+            # What is known of the row is newer than what is known of a job that the last rounds have not come to.
+            _, why = max(self.waits.get(job.id, (-1, "")), self.lineup.why(job), key=lambda known: known[0])
+            parts.append(held or why or "waiting to be placed")
+            parts += job.notes()
         return "; ".join(parts)
--- a/src/gladecroft/coordination/placers/queue.py
+++ b/src/gladecroft/coordination/placers/queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.node import Node
 from gladecroft.protocol.wire import Kind
@@ -21,27 +23,14 @@
         self._aim_spans: dict[tuple[str, str], list[float]] = {}
         self._patiences: dict[str, float] = {}
 
-    def order(self, jobs: list[Job], guaranteed: set[str]) -> list[Job]:
-        """Work within a guarantee first, then by priority, then by what can still be on time, little work first.
-
-        In an overload not all jobs can meet their aims. The most are on time if those that still can come before
-        those that can't any more, and small ones before big ones. A job that has waited for long comes first.
-        """
-        return sorted(jobs, key=lambda job: (job.id not in guaranteed, job.rank, *self._turn(job), job.id))
-
-    def pressing(self, guaranteed: set[str]) -> set[str]:
-        """The waiting jobs that come first, and may evict, for their team's guarantee.
+    def is_pressing(self, job: Job, guaranteed: set[str]) -> bool:
+        """Whether a waiting job comes first, and may evict, for its team's guarantee.
 
         A team whose unfinished work all fits into its guarantee need not wait for others at all. One that has more
         waits for itself: of its jobs those arrays do without the privilege that have missed every aim already. Large
         ones that were past helping took, and evicted, what would have brought many others home in time.
         """
-        crowded = self.picture.crowded
-        return {
-            job.id
-            for job in self.picture.queued.values()
-            if job.id in guaranteed and not (job.spec.team in crowded and self._past_helping(job))
-        }
+        return job.id in guaranteed and not (job.spec.team in self.picture.crowded and self._past_helping(job))
 
     def _past_helping(self, job: Job) -> bool:
         """Whether nothing more can be won by an array's end. A late service is as much missed as ever."""
@@ -58,20 +47,33 @@
         limits = [span - job.spec.estimate_s for span in self._aims(job, "finished")]
         return limits if self._has_started(job) else limits + self._aims(job, "wait")
 
-    def _turn(self, job: Job) -> tuple[int, float]:
+    def turn(self, job: Job) -> tuple[int, float, float]:
+        """A waiting job's turn among others of its privilege and priority, its work in core-seconds, and until when, by
+        the time of day, this and whether it is past helping hold if nothing else changes.
+
+        In an overload not all jobs can meet their aims. The most are on time if those that still can come before
+        those that can't any more, and small ones before big ones. A job that has waited for long comes first.
+        """
         spec = job.spec
         age = self._age(job)
         work = spec.cpus * job.queued_count * max(1.0, spec.estimate_s)
         limits = self._limits(job)
+        # The ages at which something changes; what holds at such an age itself is told a moment later.
+        steps = [*limits, STARVED * max(*limits, PATIENCE)] if limits else []
+        turn = -1
         if self._has_started(job):
             # Its start is behind it; it can wait as long as its end is not in danger.
             most = max(spec.cpus, self.picture.limits[spec.team].most_cpus)
+            steps += [limit - work / most - PATIENCE for limit in limits]
             if all(limit - age - work / most > PATIENCE for limit in limits):
-                return CAN_WAIT, work
+                turn = CAN_WAIT
         limits = limits or [PATIENCE]
-        if age > STARVED * max(*limits, PATIENCE):
-            return 0, work
-        return sum(age >= limit for limit in limits), work
+        starved = STARVED * max(*limits, PATIENCE)
+        steps += [*limits, starved]
+        if turn < 0:
+            turn = 0 if age > starved else sum(age >= limit for limit in limits)
+        due = min((step for step in steps if step >= age), default=math.inf)
+        return turn, work, job.record.accepted_ms / 1000 + due + 1e-3
 
     def _aims(self, job: Job, kind: str) -> list[float]:
         spans = self._aim_spans.get((job.spec.job_class, kind))
@@ -95,10 +97,12 @@
             most = min(most, int((limit.cpus_max + 1e-6) / job.spec.cpus))
         return job.begun >= most
 
-    def patience(self, job: Job) -> float:
+    def patience(self, job_class: str) -> float:
         """The shortest time that the aims give a job of this class."""
-        known = self._patiences.get(job.spec.job_class)
+        known = self._patiences.get(job_class)
         if known is None:
-            spans = [aim.within_s for aim in self.node.cluster.objectives if aim.job_class == job.spec.job_class]
-            known = self._patiences[job.spec.job_class] = min((span for span in spans if span > 0), default=PATIENCE)
+            spans = [aim.within_s for aim in self.node.cluster.objectives if aim.job_class == job_class]
+            known = self._patiences[job_class] = min((span for span in spans if span > 0), default=PATIENCE)
+            if len(self._patiences) > 1000:
+                self._patiences = {job_class: known}
         return known
--- a/src/gladecroft/coordination/placers/stops.py
+++ b/src/gladecroft/coordination/placers/stops.py
@@ -99,8 +99,7 @@
         if not emptying:
             return
         if any(
-            job.spec.kind is Kind.SERVICE and self.membership.job_home(job.spec) == me
-            for job in self.picture.queued.values()
+            waits.services and self.membership.home(team) == me for team, waits in self.picture.waiting.teams.items()
         ):
             return
         at_once = max(MOVES_AT_ONCE, len(self.picture.machines) // MACHINES_PER_MOVE)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -274,7 +274,9 @@
         rig.put(f"g/j/{name}", record)
 
     def pressing() -> set[str]:
-        return core.placers.queue.pressing(core.node.picture.guaranteed())
+        picture = core.node.picture
+        inside = picture.guaranteed()
+        return {name for name, job in picture.queued.items() if core.placers.queue.is_pressing(job, inside)}
 
     submit("wk-2", 120.0)
     submit("wk-3", 30.0)
