Tests: a flood is cheap, and the kept order is what sorting anew would give

Need: the new order of waiting work is kept from round to round; a stale place would go unnoticed. Change: calls of all cores counted with 100 and 10,000 waiting arrays; drawn changes against sorting anew; sums and guarantees against their definitions.

--- /dev/null
+++ b/tests/test_flood.py
@@ -0,0 +1,192 @@
+"""A flood is cheap: what a controller does for work that waits and can't start does not grow with how much there is."""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections import Counter
+from types import FrameType
+from typing import Any
+
+import msgspec
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.bookkeeping.teams import Guarantees
+from gladecroft.coordination.placers.lineup import Lineup
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.world import START, seconds
+from gladecroft.protocol.settings import Objective, Team
+from gladecroft.protocol.wire import Kind
+from test_epochs import clock
+from test_fencing import SPEC, Rig
+
+FLEET = """
+nodes 2
+set machine.consolidate=false
+state rps=300 write_rps=60 txn_ops=24
+team t cpus=32 max=200
+team u cpus=16 max=200
+type g16 cpus=16 memory=64 count=0 spot=0
+up g16 count=6
+run 0.05
+"""
+
+
+def calls_in_a_flood(waiting: int, sizes: list[float]) -> Counter[str]:
+    """Calls of all controllers' cores in ten seconds in which so many arrays wait for six machines, whose tasks end and
+    make room for others."""
+    scenario = Scenario(FLEET, 1).run()
+    spec = msgspec.structs.replace(
+        SPEC, kind=Kind.ARRAY, tasks=20, types=None, zone=None, spot=False, spread=False, gpus=0.0, estimate_s=900.0
+    )
+    accepted = int((START + scenario.world.now).timestamp() * 1000)
+    for number in range(waiting):
+        size = sizes[number % len(sizes)]
+        name = f"wk-{number}"
+        estimate = 900.0 + number * 37 % 100  # else the smallest tasks would stand first, and tell of all
+        each = msgspec.structs.replace(
+            spec, id=name, team="tu"[number % 2], cpus=size, memory_gb=size, estimate_s=estimate
+        )
+        scenario.state.revision += 1
+        # Accepted one after the other, so that their turns change at times of their own.
+        value = msgspec.json.decode(msgspec.json.encode(rec.JobRecord(each, accepted - number % 100)))
+        scenario.state.keys[rec.job_key(name)] = (value, scenario.state.revision, None)
+        scenario.jobs[name] = {"portions": 20, "cores": size, "cards": 0.0, "memoryGb": size, "recipe": "i",
+                               "imageGb": 1.0, "flavors": None, "district": None, "oneZone": False, "apart": False,
+                               "leftovers": False, "owner": each.team, "shape": "batch", "runS": 8.0,
+                               "snapshotS": 0.0, "stashS": 0.0, "broken": False}  # fmt: skip
+        scenario.oracle.submit_sent(name)
+    scenario.world.run_until(seconds(30))
+    assert scenario.oracle.starts, "nothing runs"
+    assert all(len(each.core.node.picture.queued) >= waiting - 12 for each in scenario.controllers if each.core)
+    calls: Counter[str] = Counter()
+
+    def profile(frame: FrameType, event: str, arg: Any) -> None:
+        if event == "call":
+            calls[frame.f_code.co_qualname] += 1
+
+    for controller in scenario.controllers:
+        assert controller.core is not None
+        step = controller.core.step
+
+        def counted(now: Any, events: Any, step: Any = step) -> Any:
+            sys.setprofile(profile)
+            try:
+                return step(now, events)
+            finally:
+                sys.setprofile(None)
+
+        controller.core.step = counted  # type: ignore[assignment, method-assign]
+    scenario.world.run_until(seconds(40))
+    assert scenario.oracle.broken == []
+    return calls
+
+
+def test_a_controller_does_no_more_with_ten_thousand_waiting_arrays_than_with_a_hundred() -> None:
+    few = calls_in_a_flood(100, [4.0])
+    many = calls_in_a_flood(10_000, [4.0])
+    assert many["Placers.place"] >= 20 and many["Lineup._set"] > 0
+    assert many.total() <= 1.1 * few.total(), (many - few).most_common(8)
+    # Sizes drawn all differently: those that are no smaller than what has found no room are passed over.
+    drawn = random.Random(3)
+    mixed = calls_in_a_flood(3_000, [round(drawn.uniform(3, 6), 2) for _ in range(500)])
+    assert mixed["Placers._place_job"] <= 20 * mixed["Placers.place"]
+
+
+def test_the_lineup_is_what_sorting_all_anew_would_give() -> None:
+    """Whatever changes, and however time passes: places that are kept must not be stale."""
+    for seed in range(12):
+        drawn = random.Random(seed)
+        rig = Rig()
+        core = rig.core
+        picture, queue = core.node.picture, core.placers.queue
+        core.node.cluster.objectives = [Objective("finished", 70.0, 0.8, "c"), Objective("wait", 30.0, 0.9, "c")]
+        picture.limits["u"] = Team("u", 6.0, 0.0, 0.0, 0.0)
+        picture.limits["t"] = Team("t", 9.0, 40.0, 0.0, 0.0)
+        lineup = Lineup(picture, queue)
+        rig.revision += 1
+        picture.apply(rec.job_key("wk-1"), None, rig.revision)
+        at = 2000.0
+        for number in range(120):
+            at += drawn.uniform(0.0, 4.0)
+            core.node.wall = clock(at).wall
+            names = sorted(picture.jobs)
+            name = drawn.choice(names) if len(names) > drawn.randrange(40) else f"wk-{number}"
+            job = picture.jobs.get(name)
+            if job is None:
+                spec = msgspec.structs.replace(
+                    SPEC, id=name, team=drawn.choice("tu"), kind=drawn.choice([Kind.ARRAY, Kind.SERVICE]), gpus=0.0,
+                    tasks=drawn.randint(1, 4), cpus=drawn.choice([1.0, 2.0]), estimate_s=drawn.uniform(1, 60),
+                    job_class=drawn.choice("cd"),
+                )  # fmt: skip
+                accepted = core.node.wall.timestamp() - drawn.uniform(0, 100)
+                rig.put(rec.job_key(name), rec.JobRecord(spec, int(accepted * 1000)))
+            elif drawn.random() < 0.2:
+                rig.revision += 1
+                picture.apply(rec.job_key(name), None, rig.revision)
+            else:
+                states = [drawn.choice(list(TaskState)) for _ in range(job.spec.tasks)]
+                rows = [TaskRecord(state, 1, "m-1" if state in (1, 2) else "") for state in states]
+                rig.put(rec.chunk_key(name, 0), rec.ChunkRecord(rows))
+            lineup.refresh(core.node.wall.timestamp())
+            inside = picture.guaranteed()
+            anew = sorted(
+                picture.queued.values(),
+                key=lambda job: (not queue.is_pressing(job, inside), job.rank, *queue.turn(job)[:2], job.id),
+            )
+            assert [job.id for job, _ in lineup.round()] == [job.id for job in anew], (seed, number)
+            assert inside == within(picture.limits, list(picture.jobs.values())), (seed, number)
+            _check_sums(picture)
+
+
+def within(limits: dict[str, Team], jobs: list[Job]) -> set[str]:
+    """The definition: jobs that fit along with all earlier unfinished ones of their team."""
+    inside = set()
+    for job in jobs:
+        earlier = [
+            other
+            for other in jobs
+            if other.spec.team == job.spec.team
+            and not other.cancelled
+            and (other.record.accepted_ms, other.id) <= (job.record.accepted_ms, job.id)
+        ]
+        if (
+            not job.cancelled
+            and sum(other.spec.cpus * other.spec.tasks for other in earlier) <= limits[job.spec.team].cpus
+        ):
+            inside.add(job.id)
+    return inside
+
+
+def _check_sums(picture: Any) -> None:
+    for team, waits in picture.waiting.teams.items():
+        jobs = [job for job in picture.jobs.values() if job.spec.team == team]
+        queued = [job for job in jobs if job.queued_count]
+        assert waits.jobs == len(queued)
+        assert abs(waits.cpus - sum(job.queued_count * job.spec.cpus for job in queued)) < 1e-6
+        assert waits.sizes == sorted(job.spec.cpus for job in queued)
+        assert waits.services == sum(job.spec.kind is Kind.SERVICE for job in queued)
+        assert waits.weight == sum(bool(job.queued_count) or job.spec.kind is not Kind.SERVICE for job in jobs)
+
+
+def test_only_teams_whose_jobs_changed_are_worked_out_anew_and_only_up_to_the_first_that_does_not_fit() -> None:
+    asked: list[str] = []
+
+    class Jobs(dict[str, Job]):
+        def __getitem__(self, name: str) -> Job:
+            asked.append(name)
+            return super().__getitem__(name)
+
+    jobs = Jobs()
+    guarantees = Guarantees({"t": Team("t", 8.0, 0.0, 0.0, 0.0), "u": Team("u", 8.0, 0.0, 0.0, 0.0)})
+    for number in range(1000):
+        spec = msgspec.structs.replace(SPEC, id=f"wk-{number}", team="tu"[number % 2], cpus=2.0, gpus=0.0, tasks=1)
+        jobs[spec.id] = Job(rec.JobRecord(spec, number), 1, 10)
+        guarantees.note(jobs[spec.id])
+    assert len(guarantees.refresh(jobs)) == 8 and guarantees.crowded == {"t", "u"}
+    asked.clear()
+    guarantees.forget(dict.__getitem__(jobs, "wk-0"))
+    assert guarantees.refresh(jobs) == {"wk-0", "wk-8"}
+    assert len(asked) == 5
