Fair shares in an overload, agreed among all controllers (off by default)

Change: while a team's class has been below half its fair share for its patience, the leader writes one record with every group's share and floor (weighted max-min over the scarcest resource, guarantees first, never above a limit). All homes plan by it: below the floor comes first across priorities, above the share comes last and evicts nobody. It ends by itself unless renewed, and once there is enough for all.

--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -54,6 +54,8 @@
         self.machines: dict[str, rec.MachineRecord] = dict(self.heard)
         #: What controllers that can't reach each other have to say.
         self.mail: dict[str, rec.MailRecord] = {}
+        #: What the leader has decided for all in an overload.
+        self.admission: rec.AdmissionRecord | None = None
         #: The machines among them that are not simply up.
         self.aside: dict[str, rec.MachineUse] = {}
         #: What the records place on each machine.
@@ -143,6 +145,8 @@
             if self.policy_news is not None:
                 subject, _, each = name.partition("/")
                 self.policy_news(subject, each, value)
+        elif key == rec.ADMISSION:
+            self.admission = None if value is None else decode(rec.AdmissionRecord, value)
         elif key == rec.EPOCH:
             self.epoch = None if value is None else decode(rec.EpochRecord, value)
             self.epoch_version = version
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -9,6 +9,7 @@
 g/m/<machine>      a machine of which there is more to say than that it is up
 g/x/<controller>   what this controller has to tell others that it can't reach
 g/q/<subject>/<n>  what a policy keeps (sorts after g/f/, so that a start reads it)
+g/s/admission      in an overload: who comes first, and whose submissions are taken, for all controllers alike
 """
 
 from __future__ import annotations
@@ -30,10 +31,12 @@
 MACHINES = "g/m/"
 MAIL = "g/x/"
 POLICIES = "g/q/"
+SHARES = "g/s/"
+ADMISSION = "g/s/admission"
 
 #: What the records are called, by prefix.
 CALLED = {JOBS: "job", CHUNKS: "tasks", FINALS: "final state", TEAMS: "claim", MACHINES: "machine", MAIL: "mail",
-          POLICIES: "policy"}  # fmt: skip
+          POLICIES: "policy", SHARES: "admission"}  # fmt: skip
 
 #: Bytes by which the tasks of a chunk are counted. With a note a record may take more: notes go if a value gets too
 #: big.
@@ -136,6 +139,34 @@
     heard: list[HeardMachine] = []
 
 
+class GroupShare(msgspec.Struct, gc=False, frozen=True, array_like=True, omit_defaults=True):
+    """Of a team's jobs of one class, in cores: below ``floor`` they come before all others, above ``share`` after.
+
+    ``begin`` and ``width``: the part of the circle of job ids whose submissions are taken; a width of 1 or more: all.
+    ``sweep``: by how much ``begin`` moves on with each second.
+    """
+
+    team: str
+    job_class: str
+    floor: float
+    share: float
+    begin: float = 0.0
+    width: float = 1.0
+    sweep: float = 0.0
+
+
+class AdmissionRecord(msgspec.Struct, gc=False, frozen=True, omit_defaults=True):
+    """What the leader has decided for all in an overload. It counts until ``until_s`` by the time of day, so that one
+    that nobody renews ends by itself. ``salt`` keys the order of job ids: users choose these."""
+
+    generation: int
+    level: str
+    since_s: int
+    until_s: int
+    groups: list[GroupShare] = []
+    salt: str = ""
+
+
 def chunk_size(value_kb: float) -> int:
     return max(1, int(value_kb * 1024 * 0.95) // TASK_BYTES)
 
--- a/src/gladecroft/bookkeeping/waiting.py
+++ b/src/gladecroft/bookkeeping/waiting.py
@@ -34,6 +34,18 @@
         self.waiting = self.running = self.waiting_cpus = 0.0
 
 
+class GroupUse:
+    """Of one team and class: unfinished jobs, and cores, cards and GB that its attempts hold and its waiting tasks ask
+    for."""
+
+    __slots__ = ("jobs", "used", "waiting")
+
+    def __init__(self) -> None:
+        self.jobs = 0
+        self.used = [0.0, 0.0, 0.0]
+        self.waiting = [0.0, 0.0, 0.0]
+
+
 class _Noted:
     __slots__ = ("queued", "occupied", "weight")
 
@@ -47,6 +59,7 @@
     def __init__(self) -> None:
         self.teams: dict[str, TeamWaits] = {}
         self.work: dict[Group, Work] = {}
+        self.groups: dict[Group, GroupUse] = {}
         #: The priorities of waiting jobs, by how many there are.
         self.ranks: Counter[int] = Counter()
         self._noted: dict[str, _Noted] = {}
@@ -64,14 +77,22 @@
         self._set(job, job.queued_count, job.occupied, bool(job.queued_count) or job.spec.kind is not Kind.SERVICE)
 
     def forget(self, job: Job) -> None:
+        if job.id not in self._noted:
+            return
         self._set(job, 0, 0, False)
-        self._noted.pop(job.id, None)
+        del self._noted[job.id]
+        group = self.groups[(job.spec.team, job.spec.job_class)]
+        group.jobs -= 1
+        if not group.jobs:
+            # With it goes what adding and taking away has left over.
+            del self.groups[(job.spec.team, job.spec.job_class)]
 
     def _set(self, job: Job, queued: int, occupied: int, weighs: bool) -> None:
         spec = job.spec
         noted = self._noted.get(job.id)
         if noted is None:
             noted = self._noted[job.id] = _Noted()
+            self.groups.setdefault((spec.team, spec.job_class), GroupUse()).jobs += 1
         if noted.queued == queued and noted.occupied == occupied and noted.weight == weighs:
             return
         team = self.teams.get(spec.team)
@@ -91,6 +112,10 @@
         team.cpus += (queued - noted.queued) * spec.cpus
         if not team.jobs:
             team.cpus = 0.0  # what adding and taking away has left over
+        group = self.groups[(spec.team, spec.job_class)]
+        for index, each in enumerate((spec.cpus, spec.gpus, spec.memory_gb)):
+            group.waiting[index] += (queued - noted.queued) * each
+            group.used[index] += (occupied - noted.occupied) * each
         if spec.kind is Kind.ARRAY and spec.spot:
             work = self.work.get((spec.team, spec.job_class))
             if work is None:
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from gladecroft.bookkeeping.records import MachineUse
+from gladecroft.coordination.admission import Admission
 from gladecroft.coordination.consent import Consent
 from gladecroft.coordination.fleet import Fleet
 from gladecroft.coordination.keeper import Keeper
@@ -31,6 +32,12 @@
         self.keeper = Keeper(self.node, self.membership, self.ledger, self.consent)
         self.placers = Placers(self.node, self.membership, self.keeper, self.ledger)
         self.fleet = Fleet(self.node, self.membership, self.keeper, self.ledger, self.placers)
+        #: None: it is switched off.
+        self.admission: Admission | None = None
+        if operator.admission:
+            patience = self.placers.queue.patience
+            self.admission = Admission(self.node, self.membership, self.ledger, self.fleet.capacity, patience)
+            self.placers.agreed = self.admission.tiers
         self.users = Users(self.node, self.membership, self.placers.fits)
         self.users.desk.reason = self.placers.reason
         self.orders = Orders(self.node, self.membership, self.ledger)
@@ -60,6 +67,8 @@
             self.orders.tick()
         self.keeper.tick()
         self.fleet.tick()
+        if self.admission is not None:
+            self.admission.tick()
         self.ledger.ends.tell()
         self.ledger.flush()
         self.keeper.work()
@@ -75,6 +84,8 @@
             self.keeper.epoch_changed(self.membership.continuous)
             self.placers.floor.all_stale()
             self.fleet.epoch_changed()
+            if self.admission is not None:
+                self.admission.epoch_changed()
 
     def _take(self, event: Event) -> None:
         if isinstance(event, Answered):
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -4,12 +4,14 @@
 
 import logging
 import math
+from collections import Counter
 from datetime import timedelta
 
 import msgspec
 
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import MachineRecord, MachineSort, MachineUse
+from gladecroft.coordination.admission.shares import Amounts
 from gladecroft.coordination.fleet.market import Market
 from gladecroft.coordination.fleet.plan import Bin, Plan, Room, Terms, empty_bin
 from gladecroft.coordination.fleet.shrink import Idle, dear_room, fits_elsewhere, to_give_back
@@ -83,10 +85,12 @@
         # Only bins that can still hold something are looked through.
         room = Room(bins, waiting.smallest())
         plan = Plan(self._terms(), room, dear_cpus, placers.spare_cpus(), self._count_zones())
-        round_ = placers.lineup.round()
+        tiers, round_ = placers.begin()
         for job, row in round_:
             if placers.held(job):
                 continue
+            if tiers is not None:
+                tiers.plan(row.group, job.queued_count * job.spec.cpus)
             if not plan.fill(job, job.rank <= placers.line or placers.lineup.pressing(job)):
                 self._pass_over(round_, row, job)
         if self.node.panel is not None:
@@ -108,6 +112,18 @@
         if small.cpus >= spec.cpus and small.gpus >= spec.gpus and small.memory_gb >= spec.memory_gb:
             round_.skip(row)
 
+    def capacity(self) -> Amounts:
+        """Cores, cards and GB of the machines that are up or coming."""
+        total = [0.0, 0.0, 0.0]
+        sorts = [record.type for record in self.picture.machines.values() if record.use is MachineUse.UP]
+        sorts += [coming.sort[0] for coming in self.market.coming.values()]
+        for name, count in Counter(sorts).items():
+            kind = self.placers.types.get(name)
+            if kind is not None:
+                for index, each in enumerate((kind.cpus, kind.gpus, kind.memory_gb)):
+                    total[index] += count * each
+        return tuple(total)
+
     def _terms(self) -> Terms:
         return Terms(
             self.placers.types,
--- a/src/gladecroft/coordination/placers/choice.py
+++ b/src/gladecroft/coordination/placers/choice.py
@@ -11,9 +11,9 @@
 UNKNOWN = "?"
 
 
-def need_of(job: Job, inside: bool, home: str) -> Need:
+def need_of(job: Job, inside: bool, home: str, gentle: bool = False) -> Need:
     spec = job.spec
-    return Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside, home)
+    return Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside, home, gentle)
 
 
 def zone_room(picture: Picture, job: Job) -> tuple[dict[str, int], int]:
--- a/src/gladecroft/coordination/placers/lineup.py
+++ b/src/gladecroft/coordination/placers/lineup.py
@@ -30,12 +30,12 @@
 class Row:
     """Jobs of one team and class, alike in privilege, priority and in the machines that they may use."""
 
-    __slots__ = ("key", "team", "job_class", "privilege", "places", "sizes", "why", "why_round")
+    __slots__ = ("key", "group", "pressing", "privilege", "places", "sizes", "why", "why_round")
 
     def __init__(self, key: tuple[Any, ...], job: Job, pressing: bool) -> None:
         self.key = key
-        self.team = job.spec.team
-        self.job_class = job.spec.job_class
+        self.group = (job.spec.team, job.spec.job_class)
+        self.pressing = pressing
         #: Work within a guarantee first, then by priority.
         self.privilege = (not pressing, job.rank)
         self.places: list[Place] = []
--- a/src/gladecroft/coordination/placers/placement.py
+++ b/src/gladecroft/coordination/placers/placement.py
@@ -27,6 +27,8 @@
     team: str
     guaranteed: bool
     home: str = ""
+    #: Has more than its fair share in an overload: it takes what is free, and pushes nobody away.
+    gentle: bool = False
 
 
 class Resident(msgspec.Struct, gc=False, eq=False):
@@ -144,7 +146,7 @@
 
 def may_evict(need: Need, victim: Resident) -> bool:
     """PROTOCOL's preemption rules; work within its team's guarantee is never evicted."""
-    if victim.guaranteed or victim.stopping:
+    if victim.guaranteed or victim.stopping or need.gentle:
         return False
     return need.rank < victim.rank or (need.guaranteed and victim.team != need.team)
 
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from datetime import timedelta
 
 from gladecroft.bookkeeping.change import Change
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.coordination.admission.tiers import LAST, Tiers
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.membership import Membership
@@ -50,6 +52,9 @@
         #: Why jobs wait that a round has gone through, and the round. Of the others their row tells.
         self.waits: dict[str, tuple[int, str]] = {}
         self._short = ""
+        #: What is agreed for this round, if anything is, and where that is known.
+        self._tiers: Tiers | None = None
+        self.agreed: Callable[[], Tiers | None] = lambda: None
         self.gangs = Gangs(node, ledger, self.floor, self.chooser, self.stops, self.writer, self.wait)
         self._retry: dict[tuple[str, int, int], timedelta] = {}
         #: Needs for which this round has found no room, by what kind of room it looked for.
@@ -100,7 +105,7 @@
         self._no_room_why.clear()
         self._spare = self.spare_cpus()
         most = MOST_PER_ROUND
-        round_ = self.lineup.round()
+        self._tiers, round_ = self.begin()
         for job, row in round_:
             self.ledger.planned += 1
             if self.held(job):
@@ -108,13 +113,23 @@
             home = self.membership.job_home(job.spec) or ""
             place = self.gangs.place if job.spec.kind is Kind.GANG else self._place_job
             self._short = ""
-            most -= place(change, job, self.lineup.pressing(job), home, most)
+            taken = place(change, job, row.pressing, home, most)
+            most -= taken
+            if self._tiers is not None:
+                self._tiers.plan(row.group, taken * job.spec.cpus)
             # Once the transaction is full there is nothing more to carry out; the next round plans anew.
             if most <= 0 or not change.room(1, 0):
                 break
             if self._short:
                 self._give_up(round_, row, job, change)
 
+    def begin(self) -> tuple[Tiers | None, Round]:
+        """A round through all that waits, in the order that is agreed; ``Lineup.refresh`` comes before it."""
+        tiers = self.agreed()
+        if tiers is None:
+            return None, self.lineup.round()
+        return tiers, self.lineup.round(lambda row: tiers.of(row.group, row.pressing))
+
     def _any_of_ours(self) -> bool:
         """Whether any waiting task is ours to place."""
         me = self.node.name
@@ -181,7 +196,9 @@
         zones, cap = zone_room(self.picture, job) if spec.spread or spec.one_zone else ({}, spec.tasks)
         if spec.one_zone and cap < spec.tasks:
             room, why = 0, "some of its machines are not known yet"
-        need = need_of(job, inside, home)
+        tiers = self._tiers
+        gentle = tiers is not None and tiers.of((spec.team, spec.job_class), inside) == LAST
+        need = need_of(job, inside, home, gentle)
         high = need.rank <= self.floor.line
         kept_out = not high and not inside and self._spare < need.cpus
         taken = evicted = 0
@@ -196,7 +213,7 @@
         )
         if self.node.panel is not None and self.node.panel.by_job():
             where = (*where, job.id)  # what is no room for one job may be room for another
-        push = (*where, need.rank, need.guaranteed, need.team)
+        push = (*where, need.rank, need.guaranteed, need.team, gentle)
         ranking: Ranking | None = None
         usable: list[Slot] = []
         if room > 0 and not spec.one_zone and self._lacks_room(where, need) and self._lacks_room(push, need):
--- a/src/gladecroft/protocol/settings.py
+++ b/src/gladecroft/protocol/settings.py
@@ -145,6 +145,8 @@
     machine_idle: Annotated[float, Meta(ge=0.0, le=3600.0)] = 15.0
     machine_consolidate: bool = True
     machine_reserve: Annotated[float, Meta(ge=0.0, le=10.0)] = 0.1
+    #: Whether in an overload the leader sees to it that each team and class has at least its floor.
+    admission: bool = False
     #: The policies that are switched on, by name, with commas between.
     policies: str = ""
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,184 @@
+"""Fair shares, the agreement on them, and that nobody starves in a flood."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.admission.needs import Held, fair_shares
+from gladecroft.coordination.admission.shares import Amounts, Need, dominant, fair_parts
+from gladecroft.coordination.admission.tiers import FIRST, LAST, USUAL, Tiers
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.world import Replier, seconds
+from gladecroft.protocol.settings import Operator, Team
+from test_epochs import clock
+from test_fencing import SPEC, Rig
+
+AMOUNTS = st.tuples(st.floats(0.1, 100), st.floats(0.1, 100))
+CAPACITY = st.tuples(st.floats(10, 100), st.floats(10, 100))
+NEEDS = st.lists(AMOUNTS, min_size=1, max_size=6).map(lambda all: {n: Need(each) for n, each in enumerate(all)})
+
+
+def use_of(amounts: Amounts, bundle: Amounts) -> float:
+    """How much of its need a group could do with a bundle."""
+    return min(1.0, min(there / each for there, each in zip(bundle, amounts, strict=True)))
+
+
+@settings(max_examples=200)
+@given(NEEDS, CAPACITY, st.floats(1.0, 20.0), st.integers(0, 5))
+def test_shares_have_the_textbook_properties(needs: dict[int, Need], capacity: Amounts, more: float, who: int) -> None:
+    parts = fair_parts(needs, capacity)
+    bundles = {key: tuple(each * parts[key] for each in need.amounts) for key, need in needs.items()}
+    used = [sum(bundle[index] for bundle in bundles.values()) for index in range(2)]
+    assert all(now <= there * (1 + 1e-6) for now, there in zip(used, capacity, strict=True))
+    full = {index for index in range(2) if used[index] >= capacity[index] * (1 - 1e-5)}
+    for key, need in needs.items():
+        even = 1 / len(needs) / dominant(need.amounts, capacity)
+        assert parts[key] >= min(1.0, even) - 1e-6, "sharing incentive"
+        assert parts[key] >= 1 - 1e-6 or full, "work conserving"
+        for other in needs:
+            assert use_of(need.amounts, bundles[other]) <= parts[key] + 1e-5, "no envy"
+    liar = who % len(needs)
+    asked = Need(tuple(each * more for each in needs[liar].amounts))
+    lied = fair_parts({**needs, liar: asked}, capacity)[liar]
+    assert min(1.0, lied * more) <= parts[liar] + 1e-5, "no gain by asking for more"
+    larger = fair_parts(needs, tuple(there * more for there in capacity))
+    assert all(larger[key] >= parts[key] - 1e-6 for key in needs), "monotone in capacity"
+
+
+def test_guarantees_come_first_limits_hold_and_what_is_not_used_is_lent() -> None:
+    teams = {"a": Team("a", 60.0, 0.0), "b": Team("b", 0.0, 0.0), "c": Team("c", 10.0, 15.0)}
+    held = {
+        ("a", "x"): Held((0.0, 0.0, 0.0), (80.0, 0.0, 0.0)),
+        ("b", "x"): Held((0.0, 0.0, 0.0), (500.0, 0.0, 0.0)),
+        ("b", "y"): Held((0.0, 0.0, 0.0), (5.0, 0.0, 0.0)),
+        ("c", "x"): Held((0.0, 0.0, 0.0), (90.0, 0.0, 0.0)),
+    }
+    shares = {group: round(share.share, 2) for group, share in fair_shares(held, teams, (100.0, 0.0, 300.0)).items()}
+    # a has its guarantee, c stops at its limit, b the rest: of that the small class all that it asks for.
+    assert shares == {("a", "x"): 60.0, ("b", "x"): 20.0, ("b", "y"): 5.0, ("c", "x"): 15.0}
+    # Half of it is gone within a second: guarantees alone are more than there is.
+    halved = fair_shares(held, teams, (35.0, 0.0, 300.0))
+    assert round(sum(share.share for share in halved.values()), 2) == 35.0
+    # A thousand teams, one job each.
+    many = {(f"t{n}", "x"): Held((0.0, 0.0, 0.0), (4.0, 0.0, 8.0)) for n in range(1000)}
+    even = fair_shares(many, {}, (1000.0, 0.0, 4000.0))
+    assert {round(share.share, 2) for share in even.values()} == {1.0}
+
+
+def test_who_is_below_its_floor_comes_first_and_who_is_above_its_share_last() -> None:
+    rig = Rig()
+    spec = msgspec.structs.replace(SPEC, id="wk-2", team="t", gpus=0.0, cpus=2.0, tasks=5, job_class="x")
+    rig.put("g/j/wk-2", rec.JobRecord(spec, 0))
+    rig.put(
+        "g/p/wk-2/0", rec.ChunkRecord([rec.TaskRecord(rec.TaskState.ACTIVE, 1, "m-1")] * 2 + [rec.TaskRecord()] * 3)
+    )
+    record = rec.AdmissionRecord(1, "shaping", 0, 10, [rec.GroupShare("t", "x", 6.0, 8.0)])
+    tiers = Tiers(record, rig.core.node.picture.waiting.groups)
+    assert tiers.of(("t", "x"), False) == FIRST and tiers.of(("t", "y"), False) == USUAL
+    tiers.plan(("t", "x"), 2.0)
+    assert tiers.of(("t", "x"), False) == USUAL
+    tiers.plan(("t", "x"), 2.0)
+    assert tiers.of(("t", "x"), False) == LAST and tiers.of(("t", "x"), True) == USUAL
+
+
+FLOOD = """
+nodes {nodes}
+set machine.consolidate=false
+set admission={on}
+state rps=300 write_rps=60 txn_ops=24
+team a cpus=0 max=0
+team b cpus=0 max=0
+type g16 cpus=16 memory=64 count=0 spot=0
+up g16 count=4
+up g16 zone=b count=4
+"""
+
+
+def flood(on: bool, nodes: int = 3, until: float = 300.0, deeds: list[tuple[float, str]] | None = None) -> Scenario:
+    """Urgent arrays of one team, three times as much as eight machines can do, and a normal one of another team now and
+    then."""
+    scenario = Scenario(FLOOD.format(on=str(on).lower(), nodes=nodes), 1).run()
+    for number in range(int(until / 2)):
+        words = ["submit", f"wk-1{number:04d}", "team=a", "priority=urgent", "tasks=24", "cpus=4", "run=8"]
+        scenario.world.at(seconds(2 + number * 2.0), lambda words=words: scenario._do(words))  # type: ignore[misc]
+    for number in range(int(until / 20)):
+        words = ["submit", f"wk-2{number:04d}", "team=b", "tasks=8", "cpus=4", "run=8"]
+        scenario.world.at(seconds(10 + number * 20.0), lambda words=words: scenario._do(words))  # type: ignore[misc]
+    for at, deed in deeds or []:
+        scenario.world.at(seconds(at), lambda deed=deed: scenario._do(deed.split()))  # type: ignore[misc]
+    scenario.world.run_until(seconds(until))
+    assert scenario.oracle.broken == []
+    return scenario
+
+
+def started(scenario: Scenario, team: str) -> int:
+    """Tasks of the team that were started at least once."""
+    return len({start[1] for start in scenario.oracle.starts if start[1][0].startswith(f"wk-{team}")})
+
+
+def test_in_a_flood_of_higher_priority_no_team_starves() -> None:
+    before, after = flood(False), flood(True)
+    assert started(before, "2") == 0, "strict priorities leave nothing to the lower one: else this shows nothing"
+    wanted = 8 * 15
+    assert started(after, "2") >= 0.6 * wanted
+    # What one team gets comes from what the other has more than its share, and nothing is lost on the way.
+    assert started(after, "1") + started(after, "2") >= 0.97 * started(before, "1")
+    # A job of the starved team waits for its class's patience once, then for its turn.
+    first = min(at for at, key, *_ in after.oracle.starts if key[0].startswith("wk-2"))
+    assert first <= 10 + 60 + 15
+
+
+def test_the_agreement_outlasts_its_leader_and_a_controller_that_is_cut_off() -> None:
+    scenario = flood(
+        True, deeds=[(120.0, "crash leader for=8"), (170.0, "cut follower state for=20"), (230.0, "outage for=12")]
+    )
+    assert started(scenario, "2") >= 0.5 * 8 * 15
+    generations = {
+        core.node.picture.admission.generation
+        for each in scenario.controllers
+        if (core := each.core) is not None and core.node.picture.admission is not None
+    }
+    assert len(generations) == 1, "all go by one generation"
+
+
+def test_switched_off_or_without_an_overload_it_asks_for_nothing() -> None:
+    counted: list[list[tuple[str, str]]] = []
+    for on in ("false", "true"):
+        text = FLOOD.format(on=on, nodes=3).replace("count=0", "count=9")
+        scenario = Scenario(text, 1).run()
+        asked: list[tuple[str, str]] = []
+        serve = scenario.state.serve
+
+        def served(node: str, method: str, path: str, body: bytes, reply: Replier, serve: Any = serve) -> None:
+            asked.append((method, path.split("?")[0]))  # noqa: B023
+            serve(node, method, path, body, reply)
+
+        scenario.state.serve = served  # type: ignore[method-assign]
+        for number in range(20):
+            words = ["submit", f"wk-{number}", f"team={'ab'[number % 2]}", "tasks=6", "cpus=4", "run=8"]
+            scenario.world.at(seconds(2 + number * 2.0), lambda words=words: scenario._do(words))  # type: ignore[misc]
+        scenario.world.run_until(seconds(90))
+        counted.append(asked)
+        assert all(each.core.node.picture.admission is None for each in scenario.controllers if each.core)
+    assert counted[0] == counted[1]
+    rig = Rig(Operator())
+    assert rig.core.admission is None and rig.core.placers.agreed() is None
+
+
+def test_an_agreement_that_nobody_renews_ends_by_itself() -> None:
+    rig = Rig(Operator(admission=True))
+    admission = rig.core.admission
+    assert admission is not None
+    now = int(rig.core.node.wall.timestamp())
+    rig.put(rec.ADMISSION, rec.AdmissionRecord(3, "shaping", now, now + 30, [rec.GroupShare("t", "c", 4.0, 8.0)]))
+    assert admission.tiers() is not None
+    rig.core.node.wall = clock(rig.at + 31).wall
+    assert admission.tiers() is None
+    # Listing all records anew forgets it until it is read again.
+    rig.core.node.picture.reset()
+    assert rig.core.node.picture.admission is None
