Submissions in an overload: the same answer everywhere, and a turn for each id; gladecroft admission show

Change: beyond half of the unfinished jobs that fit, a group with more than its max-min part of them has those submissions taken whose ids lie in a window that moves with each generation of the agreed record; Retry-After tells when it comes round. Polls and cancellations keep room of their own among waiting requests. What can never run is told so before any count is looked at.

--- a/src/gladecroft/bookkeeping/waiting.py
+++ b/src/gladecroft/bookkeeping/waiting.py
@@ -60,6 +60,9 @@
         self.teams: dict[str, TeamWaits] = {}
         self.work: dict[Group, Work] = {}
         self.groups: dict[Group, GroupUse] = {}
+        #: Jobs that have come and gone since the records were listed.
+        self.came: Counter[Group] = Counter()
+        self.gone: Counter[Group] = Counter()
         #: The priorities of waiting jobs, by how many there are.
         self.ranks: Counter[int] = Counter()
         self._noted: dict[str, _Noted] = {}
@@ -82,6 +85,7 @@
         self._set(job, 0, 0, False)
         del self._noted[job.id]
         group = self.groups[(job.spec.team, job.spec.job_class)]
+        self.gone[(job.spec.team, job.spec.job_class)] += 1
         group.jobs -= 1
         if not group.jobs:
             # With it goes what adding and taking away has left over.
@@ -93,6 +97,7 @@
         if noted is None:
             noted = self._noted[job.id] = _Noted()
             self.groups.setdefault((spec.team, spec.job_class), GroupUse()).jobs += 1
+            self.came[(spec.team, spec.job_class)] += 1
         if noted.queued == queued and noted.occupied == occupied and noted.weight == weighs:
             return
         team = self.teams.get(spec.team)
--- a/src/gladecroft/cli.py
+++ b/src/gladecroft/cli.py
@@ -43,6 +43,7 @@
     """A group whose further commands are imported only when called: the daemon needs none of them."""
 
     further = {
+        "admission": ("gladecroft.toolbox.admission", "admission"),
         "cordon": ("gladecroft.toolbox.cordon", "cordon"),
         "lab": ("gladecroft.lab.commands", "lab"),
     }
--- a/src/gladecroft/coordination/admission/admission.py
+++ b/src/gladecroft/coordination/admission/admission.py
@@ -11,12 +11,15 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.waiting import Group
+from gladecroft.coordination.admission.answers import TRIES_FOR, Flow, next_gate, parts_of_all, wait_of
 from gladecroft.coordination.admission.needs import Held, Share, fair_shares, is_short, starving
 from gladecroft.coordination.admission.shares import Amounts
 from gladecroft.coordination.admission.tiers import Tiers
 from gladecroft.coordination.ledger import Ledger, PolicyPut
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
+from gladecroft.protocol import operators
+from gladecroft.protocol.wire import JobSpec
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +34,8 @@
 CALM = timedelta(seconds=10)
 #: A share that has moved by less is not written anew.
 SAME = 0.1
+#: Beyond this part of the unfinished jobs that a controller has memory for, submissions are taken by each group's part.
+MANY = 0.5
 #: Bytes of a record that are left to what is not groups.
 HEAD = 300
 
@@ -45,6 +50,7 @@
         ledger: Ledger,
         capacity: Callable[[], Amounts],
         patience: Callable[[str], float],
+        most_jobs: int,
     ) -> None:
         self.node = node
         self.picture = node.picture
@@ -52,6 +58,9 @@
         self.ledger = ledger
         self._capacity = capacity
         self._patience = patience
+        self._most_jobs = most_jobs
+        #: Jobs that had come and gone of each group when the record was last written.
+        self._flow: tuple[dict[Group, int], dict[Group, int]] = ({}, {})
         self._looked_at = timedelta(days=-1)
         self._written_at = timedelta(days=-1)
         self._short_at = timedelta(days=-1)
@@ -76,6 +85,7 @@
         """Another may lead now; who has just come to lead goes on with what is agreed."""
         self._since.clear()
         self._pressed = self.record() is not None
+        self._note_flow()
 
     def tick(self) -> None:
         node = self.node
@@ -91,7 +101,8 @@
         now = self.node.now
         held = {group: Held((*use.used,), (*use.waiting,)) for group, use in self.picture.waiting.groups.items()}
         capacity = self._capacity()
-        if is_short(held, capacity):
+        many = len(self.picture.jobs) > MANY * self._most_jobs
+        if is_short(held, capacity) or many:
             self._short_at = now
         elif now - self._short_at >= CALM:
             self._since.clear()
@@ -105,6 +116,7 @@
         for group, since in self._since.items():
             if now - since >= min(LONGEST_PATIENCE, timedelta(seconds=self._patience(group[1]))):
                 self._pressed = True
+        self._pressed |= many
         if self._pressed:
             self._agree(held, shares)
 
@@ -113,15 +125,19 @@
         # All are named: who has more than its share now may be below it in a second, and who is not named would go on
         # evicting those that are. Those that lack most stand first, should a value not hold all.
         order = sorted(shares, key=lambda group: (held[group].used[0] / max(shares[group].floor, 1e-9), group))
-        groups = [rec.GroupShare(*group, shares[group].floor, shares[group].share) for group in order]
+        gates = self._gates()
+        groups = [rec.GroupShare(*group, shares[group].floor, shares[group].share, *gates[group]) for group in order]
         now, wall = self.node.now, int(self.node.wall.timestamp())
         before = self.record()
         lasts = before is not None and before.until_s - wall > COUNTS_FOR.total_seconds() / 2
-        if lasts and before is not None and _alike(before.groups, groups) or now - self._written_at < WRITE_EVERY:
+        if now - self._written_at < WRITE_EVERY:
+            return
+        shedding = any(group.width < 1.0 for group in groups)
+        if lasts and not shedding and before is not None and _alike(before.groups, groups):
             return
         record = rec.AdmissionRecord(
             1 if self.picture.admission is None else self.picture.admission.generation + 1,
-            "shaping",
+            "shedding" if shedding else "shaping",
             wall if before is None else before.since_s,
             wall + int(COUNTS_FOR.total_seconds()),
             _fitting(groups, self.picture.value_bytes - HEAD),
@@ -129,9 +145,66 @@
         )
         self._put(record)
 
+    def _gates(self) -> dict[Group, tuple[float, float, float]]:
+        """Whose submissions are taken next, by how many jobs each group has, and how fast they come and end."""
+        waiting = self.picture.waiting
+        jobs = {group: use.jobs for group, use in waiting.groups.items()}
+        if sum(jobs.values()) <= MANY * self._most_jobs:
+            return dict.fromkeys(jobs, (0.0, 1.0, 0.0))
+        parts = parts_of_all(jobs, int(MANY * self._most_jobs))
+        span = max((self.node.now - self._written_at).total_seconds(), 1.0)
+        known = self._shares()
+        came, gone = self._flow
+        return {
+            group: next_gate(
+                known.get(group),
+                Flow(
+                    count,
+                    parts[group],
+                    max(0, waiting.came[group] - came.get(group, 0)) / span,
+                    max(0, waiting.gone[group] - gone.get(group, 0)) / span,
+                ),
+                WRITE_EVERY.total_seconds(),
+            )
+            for group, count in jobs.items()
+        }
+
+    def _note_flow(self) -> None:
+        self._flow = (dict(self.picture.waiting.came), dict(self.picture.waiting.gone))
+
+    def _shares(self) -> dict[Group, rec.GroupShare]:
+        record = self.record()
+        return {} if record is None else {(each.team, each.job_class): each for each in record.groups}
+
+    def wait_of(self, spec: JobSpec) -> int | None:
+        """None if a new job's submission is taken, else after how many seconds to try again: the same at every
+        controller that goes by the same generation."""
+        record = self.record()
+        if record is None or record.level != "shedding":
+            return None
+        share = self._shares().get((spec.team, spec.job_class))
+        return None if share is None else wait_of(share, record.salt, spec.id)
+
+    def show(self) -> operators.AdmissionShown:
+        """What is agreed and what each group has, those first that wait for most."""
+        record, shares = self.record(), self._shares()
+        groups = []
+        for group, use in self.picture.waiting.groups.items():
+            share = shares.get(group)
+            shown = operators.GroupShown(*group, use.jobs, round(use.used[0], 2), round(use.waiting[0], 2))
+            if share is not None:
+                taken = 1.0 if share.width >= 1.0 else round(min(1.0, share.sweep * TRIES_FOR), 3)
+                shown = msgspec.structs.replace(shown, floor=share.floor, share=share.share, taken=taken)
+            groups.append(shown)
+        groups.sort(key=lambda each: (-each.waiting, each.team, each.job_class))
+        if record is None:
+            return operators.AdmissionShown("open", 0, 0, 0, groups)
+        return operators.AdmissionShown(record.level, record.generation, record.since_s, record.until_s, groups)
+
     def _put(self, record: rec.AdmissionRecord | None) -> None:
         """Last in line for the changes: what is agreed before counts for some time if there are none to be had."""
         self._written_at = self.node.now
+        self._note_flow()
         value = None if record is None else msgspec.json.encode(record)
 
         def done() -> None:
--- a/src/gladecroft/coordination/admission/shares.py
+++ b/src/gladecroft/coordination/admission/shares.py
@@ -43,6 +43,8 @@
     is used that is not there; each gets at least an even part of every resource, or what it needs; nobody would rather
     have another's part, or gets more by asking for more; what is left over nobody could use.
     """
+    if not needs:
+        return {}
     height = {key: dominant(need.amounts, capacity) for key, need in needs.items()}
     most = {key: max(0.0, min(1.0, need.most)) for key, need in needs.items()}
     # A group that needs what there is none of gets nothing, and holds nobody up.
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -17,6 +17,7 @@
 from gladecroft.coordination.orders import Orders
 from gladecroft.coordination.placers import Placers
 from gladecroft.coordination.users import Users
+from gladecroft.coordination.users.users import JOBS_PER_MB
 from gladecroft.protocol.settings import Operator, Platform
 from gladecroft.protocol.wire import encode
 
@@ -36,10 +37,15 @@
         self.admission: Admission | None = None
         if operator.admission:
             patience = self.placers.queue.patience
-            self.admission = Admission(self.node, self.membership, self.ledger, self.fleet.capacity, patience)
+            most_jobs = int(JOBS_PER_MB * self.node.cluster.limits.memory_mb)
+            self.admission = Admission(
+                self.node, self.membership, self.ledger, self.fleet.capacity, patience, most_jobs
+            )
             self.placers.agreed = self.admission.tiers
         self.users = Users(self.node, self.membership, self.placers.fits)
         self.users.desk.reason = self.placers.reason
+        if self.admission is not None:
+            self.users.wait_of, self.users.agreed = self.admission.wait_of, True
         self.orders = Orders(self.node, self.membership, self.ledger)
 
     def step(self, clock: Clock, events: list[Event]) -> list[Effect]:
@@ -68,13 +74,21 @@
         self.keeper.tick()
         self.fleet.tick()
         if self.admission is not None:
-            self.admission.tick()
+            self._agree(self.admission)
         self.ledger.ends.tell()
         self.ledger.flush()
         self.keeper.work()
         self.node.account()
         return node.take_effects()
 
+    @staticmethod
+    def _agree(admission: Admission) -> None:
+        try:
+            admission.tick()
+        except Exception:
+            # It says who comes first; no rule rests on it, and a fault in it must not end the controller.
+            log.exception("fault while agreeing on shares")
+
     def _follow_epoch(self) -> None:
         self.membership.see_epoch()
         if self.membership.changed:
@@ -115,11 +129,21 @@
             self.orders.show(asked)
         elif asked.verb is Verb.CORDON:
             self.orders.asked(asked)
+        elif asked.verb is Verb.ADMISSION:
+            self._show_admission(asked)
         elif asked.verb is Verb.VIEW:
             self.node.reply(asked.number, 200, encode(self.view()))
         else:
             self.users.asked(asked)
 
+    def _show_admission(self, asked: Asked) -> None:
+        if self.admission is None:
+            self.node.refuse(asked.number, 404, "fair shares are not switched on (admission=true)")
+        elif not self.node.loaded:
+            self.node.refuse(asked.number, 503, "starting: the records are not read yet", 1)
+        else:
+            self.node.reply(asked.number, 200, encode(self.admission.show()))
+
     def healthy(self) -> bool:
         # In an outage for all no other controller would serve users better; the one who alone is refused steps aside.
         served = not self.node.state_down() or self.consent.outage()
--- a/src/gladecroft/coordination/messages.py
+++ b/src/gladecroft/coordination/messages.py
@@ -20,6 +20,8 @@
     #: An operator asks for the cordons, or sets or lifts one.
     CORDONS = "cordons"
     CORDON = "cordon"
+    #: An operator asks what is agreed on shares.
+    ADMISSION = "admission"
     #: A sibling tells of attempts that are proven gone.
     ENDED = "ended"
     #: A sibling tells of machines that have reported to it.
--- a/src/gladecroft/coordination/users/users.py
+++ b/src/gladecroft/coordination/users/users.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.admission.answers import position
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked, Verb
 from gladecroft.coordination.node import Node
@@ -26,6 +27,9 @@
     Verb.POLL: timedelta(seconds=1.4),
 }
 RETRY_AFTER = {429: 10, 503: 1}
+#: What part of all requests that may wait each kind may take up, if shares are agreed: a flood of submissions leaves
+#: room for polls, and one of polls for cancellations.
+OPEN_TO = {Verb.SUBMIT: 0.5, Verb.POLL: 0.8, Verb.CANCEL: 1.0}
 CONFIRM_EVERY = timedelta(milliseconds=100)
 LOOK_EVERY = timedelta(milliseconds=100)
 #: Requests that may wait, and accepted jobs that may be unfinished, for each MB that a controller may hold. A job
@@ -40,6 +44,10 @@
         self.picture = node.picture
         self.desk = Desk(node)
         self._fits = fits
+        #: After how many seconds a new job is to be submitted again for which there is no room in its group; None: it
+        #: is taken. ``agreed``: whether there is such an agreement at all.
+        self.wait_of: Callable[[JobSpec], int | None] = lambda spec: None
+        self.agreed = False
         self._lookups = Lookups(node, self.desk, self._found)
         self._changes = Changes(node, membership, self.desk, self._route, self._lookups.read, self._tell_known)
         self._confirm: dict[str, list[Waiting]] = {}
@@ -70,8 +78,9 @@
         if node.state_down():
             node.refuse(asked.number, 503, "the state service does not answer", 2)
             return
-        if len(self.desk.open) >= WAITING_PER_MB * node.cluster.limits.memory_mb:
-            node.refuse(asked.number, 429, "too many requests wait", 3)
+        most = WAITING_PER_MB * node.cluster.limits.memory_mb * (OPEN_TO[asked.verb] if self.agreed else 1.0)
+        if len(self.desk.open) >= most:
+            node.refuse(asked.number, 429, "too many requests wait", self._retry_after(429, asked.job, 3))
             return
         self.desk.open[asked.number] = waiting
         self._route(waiting)
@@ -96,17 +105,26 @@
             return
         self._lookups.read(waiting)
 
+    def _retry_after(self, status: int, job: str, usual: int | None) -> int | None:
+        """Spread, so that those who are refused together do not come back together."""
+        if not self.agreed or usual is None or status != 429:
+            return usual
+        return usual + int(position(self.node.name, job) * 2 * usual)
+
     def _judge(self, spec: JobSpec) -> tuple[int, str] | None:
         never = self.picture.never_runs(spec)
         if never is not None:
             return 422, never
-        if len(self.picture.jobs) >= JOBS_PER_MB * self.node.cluster.limits.memory_mb:
-            return 429, "too many jobs are unfinished"
         fits = self._fits(spec)
         if fits is False:
             return 503, "the machine types are not known yet"
         if isinstance(fits, str):
             return 422, fits
+        # What can never run is told so, whatever the load.
+        if len(self.picture.jobs) >= JOBS_PER_MB * self.node.cluster.limits.memory_mb:
+            return 429, "too many jobs are unfinished"
+        if self.wait_of(spec) is not None:
+            return 429, f"too many jobs of {spec.team}, {spec.job_class}, are unfinished"
         return None
 
     def _tell_known(self, waiting: Waiting) -> bool:
@@ -199,7 +217,9 @@
         assert waiting.spec is not None
         verdict = self._judge(waiting.spec)
         if verdict is not None:
-            self.desk.refuse(waiting, verdict[0], verdict[1], RETRY_AFTER.get(verdict[0]))
+            usual = self.wait_of(waiting.spec) if verdict[0] == 429 else None
+            after = usual or self._retry_after(verdict[0], waiting.spec.id, RETRY_AFTER.get(verdict[0]))
+            self.desk.refuse(waiting, verdict[0], verdict[1], after)
         else:
             waiting.tries += 1
             self._changes.append(waiting)
--- a/src/gladecroft/protocol/operators.py
+++ b/src/gladecroft/protocol/operators.py
@@ -11,6 +11,7 @@
 
 VIEW_PATH = "/view"
 CORDONS_PATH = "/cordons"
+ADMISSION_PATH = "/admission"
 
 
 def utc(at: datetime) -> str:
@@ -61,3 +62,28 @@
 
 class Cordons(msgspec.Struct, frozen=True):
     cordons: list[CordonShown]
+
+
+class GroupShown(msgspec.Struct, frozen=True):
+    """A team's jobs of one class: unfinished jobs, and cores in use, waited for, guaranteed as floor and due as share.
+
+    ``taken``: the part of new submissions, by their users' minute of tries, that is taken (1: all)."""
+
+    team: str
+    job_class: str
+    jobs: int
+    used: float
+    waiting: float
+    floor: float | None = None
+    share: float | None = None
+    taken: float = 1.0
+
+
+class AdmissionShown(msgspec.Struct, frozen=True):
+    """What is agreed. ``level``: open (nothing is), shaping (floors and shares count), shedding (some are refused)."""
+
+    level: str
+    generation: int
+    since_s: int
+    until_s: int
+    groups: list[GroupShown]
--- a/src/gladecroft/service.py
+++ b/src/gladecroft/service.py
@@ -46,6 +46,7 @@
     peers.HEARS_PATH: Verb.HEARS,
     peers.CONSENT_PATH: Verb.CONSENT,
 }
+OPERATORS_READ = {operators.VIEW_PATH: Verb.VIEW, operators.ADMISSION_PATH: Verb.ADMISSION}
 BATCH = 256
 
 
@@ -210,9 +211,10 @@
             if request.method not in ("GET", "POST"):
                 return _wrong_method("GET, POST")
             return await self._ask(Verb.CORDONS if request.method == "GET" else Verb.CORDON, request.body)
-        if path != operators.VIEW_PATH:
+        shown = OPERATORS_READ.get(path)
+        if shown is None:
             return _refusal(404, "no such path")
-        return await self._ask(Verb.VIEW) if request.method == "GET" else _wrong_method("GET")
+        return await self._ask(shown) if request.method == "GET" else _wrong_method("GET")
 
 
 def _refusal(status: int, why: str, retry_after: int | None = None) -> Response:
--- a/src/gladecroft/toolbox/cordon.py
+++ b/src/gladecroft/toolbox/cordon.py
@@ -11,20 +11,11 @@
 
 from gladecroft.protocol import operators
 from gladecroft.protocol.operators import CordonOrder, Cordons, Scope
+from gladecroft.toolbox.options import as_json_option, node_option, wait_option
 from gladecroft.toolbox.talk import BAD_INPUT, ask, fail
 
 UNITS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
-_node = click.option(
-    "--node",
-    "nodes",
-    required=True,
-    multiple=True,
-    envvar="GLADECROFT_NODES",
-    help="A controller's peer address, HOST:PORT; several: the first that takes it. Default: GLADECROFT_NODES.",
-)
-_wait = click.option("--wait", default=20.0, show_default=True, type=click.FloatRange(0), help="Seconds to try for.")
-_json = click.option("--json", "as_json", is_flag=True, help="Print the same in machine form.")
 _scope = click.argument("scope", type=click.Choice([scope.value for scope in Scope]))
 _name = click.argument("name")
 
@@ -55,12 +46,12 @@
 @cordon.command("set")
 @_scope
 @_name
-@_node
-@_wait
+@node_option
+@wait_option
 @click.option("--why", default="", help="The reason, for users and other operators.")
 @click.option("--for", "length", help="How long, such as 30m or 2h. Default: until it is lifted.")
 @click.option("--until", help="Until when, such as '18:00' or '2026-12-24 06:00 UTC'.")
-@_json
+@as_json_option
 def set_(
     scope: str,
     name: str,
@@ -96,9 +87,9 @@
 @cordon.command()
 @_scope
 @_name
-@_node
-@_wait
-@_json
+@node_option
+@wait_option
+@as_json_option
 def lift(scope: str, name: str, nodes: tuple[str, ...], wait: float, as_json: bool) -> None:
     """End a cordon."""
     _order(CordonOrder(Scope(scope), name, lift=True), nodes, wait, as_json)
@@ -120,9 +111,9 @@
 
 
 @cordon.command("list")
-@_node
-@_wait
-@_json
+@node_option
+@wait_option
+@as_json_option
 def list_(nodes: tuple[str, ...], wait: float, as_json: bool) -> None:
     """Show the cordons that a controller knows of, and how many machines each shuts."""
     body = ask(nodes, "GET", operators.CORDONS_PATH, None, timedelta(seconds=wait))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from functools import partial
 
 import msgspec
@@ -9,6 +10,8 @@
 from hypothesis import strategies as st
 
 from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.waiting import GroupUse
+from gladecroft.coordination.admission.answers import Flow, next_gate, parts_of_all, wait_of
 from gladecroft.coordination.admission.needs import Held, fair_shares
 from gladecroft.coordination.admission.shares import Amounts, Need, dominant, fair_parts
 from gladecroft.coordination.admission.tiers import FIRST, LAST, USUAL, Tiers
@@ -183,3 +186,136 @@
     # Listing all records anew forgets it until it is read again.
     rig.core.node.picture.reset()
     assert rig.core.node.picture.admission is None
+
+
+# Answers --------------------------------------------------------------------------------------------------------------
+
+
+def test_two_controllers_of_one_generation_give_every_job_the_same_answer() -> None:
+    drawn = random.Random(7)
+    cores = [Rig(Operator(admission=True)).core for _ in range(2)]
+    taken = 0
+    for number in range(10_000):
+        if number % 100 == 0:
+            width, sweep = drawn.choice([(1.0, 0.0), (drawn.random(), drawn.random() / 60)])
+            now = int(cores[0].node.wall.timestamp())
+            share = rec.GroupShare("t", SPEC.job_class, 1.0, 2.0, drawn.random(), width, sweep)
+            record = rec.AdmissionRecord(number, "shedding", now, now + 30, [share], f"{number:016x}")
+            for index, core in enumerate(cores):
+                # What each saw of other jobs, when it looks, and for how long it has lived are not the same.
+                core.node.picture.admission = record
+                core.node.wall = clock(cores[0].node.now.total_seconds() + index * 0.9).wall
+                rig_jobs = core.node.picture.waiting.groups
+                rig_jobs.setdefault(("t", "x"), GroupUse()).jobs = drawn.randrange(5000)
+        spec = msgspec.structs.replace(SPEC, id=f"wk-{drawn.randrange(10**9):09d}", team="t")
+        waits = [core.admission.wait_of(spec) for core in cores if core.admission is not None]
+        assert waits[0] == waits[1]
+        assert waits[0] is None or 1 <= waits[0] <= 30
+        taken += waits[0] is None
+    assert 1000 < taken < 9900
+
+
+def test_who_comes_back_when_told_is_taken_and_none_of_a_group_within_its_part_is_refused() -> None:
+    assert next_gate(None, Flow(10, 10.0, 5.0, 1.0), 5.0) == (0.0, 1.0, 0.0)
+    gate = rec.GroupShare("t", "c", 0.0, 0.0, 0.3, 0.999, 1 / 60)
+    refused: dict[str, float] = {}
+    at, done = 0.0, 0
+    for number in range(400):
+        # As many come as end: the whole circle is covered within the minute for which users try.
+        begin, width, sweep = next_gate(gate, Flow(100, 50.0, 1.0, 1.0), 5.0)
+        gate = rec.GroupShare("t", "c", 0.0, 0.0, begin, width, max(sweep, 1 / 60))
+        for job, due in list(refused.items()):
+            if due <= at:
+                wait = wait_of(gate, "salt", job)
+                if wait is None:
+                    del refused[job]
+                    done += 1
+                else:
+                    refused[job] = at + wait
+        wait = wait_of(gate, "salt", f"wk-{number}")
+        if wait is not None:
+            refused[f"wk-{number}"] = at + wait
+        at += 5.0
+    assert done > 200 and len(refused) <= 14
+
+
+def test_what_is_unfinished_settles_at_a_groups_part_whatever_comes() -> None:
+    """Ten jobs a second come where two a second end, for ten minutes; who is refused tries for a minute."""
+    drawn = random.Random(1)
+    jobs, part, gate = 100, 100.0, None
+    waiting: list[tuple[float, float, str]] = []
+    number, came, most, lost = 0, 0, 0, 0
+    for second in range(600):
+        if second % 5 == 0:
+            begin, width, sweep = next_gate(gate, Flow(jobs, part, came / 5, 2.0), 5.0)
+            gate = rec.GroupShare("t", "c", 0.0, 0.0, begin, width, sweep)
+            came = 0
+        tries = [(float(second), second + 60.0, f"wk-{number + index}") for index in range(10)]
+        number += 10
+        tries += [each for each in waiting if each[0] <= second]
+        waiting = [each for each in waiting if each[0] > second]
+        for _, until, job in tries:
+            assert gate is not None
+            wait = wait_of(gate, "k", job)
+            if wait is None:
+                jobs += 1
+                came += 1
+            elif second + wait < until:
+                waiting.append((second + wait + drawn.random(), until, job))
+            else:
+                lost += 1
+        jobs = max(0, jobs - 2)
+        if second > 120:
+            most = max(most, jobs)
+    assert most <= 2.5 * part, most
+    assert jobs >= 0.5 * part, "no room is left unused"
+    assert lost > 3000
+
+
+def test_parts_of_all_jobs_are_max_min() -> None:
+    parts = parts_of_all({("a", "x"): 900, ("a", "y"): 10, ("b", "x"): 30, ("c", "x"): 200}, 300)
+    assert parts == {("a", "x"): 125.0, ("a", "y"): 10.0, ("b", "x"): 30.0, ("c", "x"): 135.0}
+    assert parts_of_all({("a", "x"): 10, ("b", "x"): 20}, 100) == {("a", "x"): 45.0, ("b", "x"): 55.0}
+
+
+SHED = """
+nodes 3
+memory 6
+set machine.consolidate=false
+set admission={on}
+state rps=400 write_rps=80 txn_ops=24
+team a cpus=0 max=0
+team b cpus=0 max=0
+type g16 cpus=16 memory=64 count=0 spot=0
+up g16 count=2
+"""
+
+
+def shed(on: str) -> Scenario:
+    """One team submits five jobs a second for 100 s where two a second can run, another one every 4 s."""
+    scenario = Scenario(SHED.format(on=on), 1).run()
+    for number in range(500):
+        words = ["submit", f"wk-1{number:04d}", "team=a", "cpus=4", "run=4"]
+        scenario.world.at(seconds(5 + number * 0.2), partial(scenario._do, words))
+    for number in range(30):
+        words = ["submit", f"wk-2{number:04d}", "team=b", "cpus=4", "run=4"]
+        scenario.world.at(seconds(6 + number * 4.0), partial(scenario._do, words))
+    scenario.world.run_until(seconds(240))
+    assert scenario.oracle.broken == []
+    return scenario
+
+
+def test_one_teams_flood_of_submissions_does_not_have_anothers_refused() -> None:
+    def of(scenario: Scenario, team: str, *statuses: int) -> list[str]:
+        users = [user for name, user in scenario.users.items() if name.startswith(f"wk-{team}")]
+        return [
+            user.id for user in users for _, verb, status, _ in user.answers if verb == "submit" and status in statuses
+        ]
+
+    before, after = shed("false"), shed("true")
+    assert of(before, "2", 429), "the count of all is filled by one: else this shows nothing"
+    assert of(after, "1", 429) and not of(after, "2", 429)
+    assert all(user.accepted for name, user in after.users.items() if name.startswith("wk-2"))
+    # Of the flood as many are accepted in all as there is room for.
+    taken = [sum(user.accepted for user in each.users.values()) for each in (before, after)]
+    assert taken[1] >= 0.8 * taken[0]
