--- a/src/gladecroft/coordination/users/changes.py
+++ b/src/gladecroft/coordination/users/changes.py
@@ -147,8 +147,9 @@
         if record.cancelled:
             log.info("job %s: cancelled by its user", name)
         else:
-            log.info("job %s: accepted, %d tasks of %s for %s", name, record.spec.tasks, record.spec.job_class,
-                     record.spec.team)  # fmt: skip
+            spec = record.spec
+            log.info("job %s: accepted, %d tasks of %s for %s with %g cores for %g s each", name, spec.tasks,
+                     spec.job_class, spec.team, spec.cpus, spec.estimate_s)  # fmt: skip
         for index, waiting in enumerate(group):
             if job is not None:
                 self.desk.tell(waiting, job, 201 if index == 0 and waiting.asked.verb is Verb.SUBMIT else 200)
--- a/src/gladecroft/lab/bound.py
+++ b/src/gladecroft/lab/bound.py
@@ -25,7 +25,7 @@
 from scipy.sparse import coo_array
 
 LINE = re.compile(r"(\d{4}-\d\d-\d\d \d\d:\d\d:\d\d,\d{3}) INFO gladecroft\.\S+: (.*)")
-ACCEPTED = re.compile(r"job (\S+): accepted, (\d+) tasks of (\S+) for ")
+ACCEPTED = re.compile(r"job (\S+): accepted, (\d+) tasks of (\S+) for (\S+)(?: with (\S+) cores for (\S+) s each)?")
 PLACED = re.compile(r"(\S+)/(\d+)#(\d+) goes to ")
 ENDED = re.compile(r"(\S+)/(\d+)#(\d+) on \S+ ended: ")
 OVER = re.compile(r"(\S+) is over: done")
@@ -43,6 +43,10 @@
     over: float | None = None
     #: Task-seconds in which its tasks held room.
     work: float = 0.0
+    team: str = ""
+    #: A task's cores (0: the log does not say), and its seconds by its owner's estimate (0: it is a service).
+    cores: float = 0.0
+    estimate: float = 0.0
 
 
 def read(lines: Iterable[str]) -> tuple[dict[str, Array], dict[str, list[tuple[float, float]]]]:
@@ -61,7 +65,10 @@
         now = (when - zero).total_seconds()
         text = found[2]
         if accepted := ACCEPTED.match(text):
-            arrays[accepted[1]] = Array(now, int(accepted[2]), accepted[3])
+            arrays[accepted[1]] = Array(
+                now, int(accepted[2]), accepted[3], team=accepted[4],
+                cores=float(accepted[5] or 0), estimate=float(accepted[6] or 0),
+            )  # fmt: skip
         elif placed := PLACED.match(text):
             begun[placed[1], placed[2], placed[3]] = now
         elif ended := ENDED.match(text):
