--- a/src/gladecroft/coordination/admission/admission.py
+++ b/src/gladecroft/coordination/admission/admission.py
@@ -34,8 +34,10 @@
 CALM = timedelta(seconds=10)
 #: A share that has moved by less is not written anew.
 SAME = 0.1
-#: Beyond this part of the unfinished jobs that a controller has memory for, submissions are taken by each group's part.
+#: Beyond this part of the unfinished jobs that a controller has memory for, submissions are taken by each group's part
+#: of most of them: what comes while a generation is written needs room too.
 MANY = 0.5
+MOST = 0.75
 #: Bytes of a record that are left to what is not groups.
 HEAD = 300
 
@@ -151,7 +153,7 @@
         jobs = {group: use.jobs for group, use in waiting.groups.items()}
         if sum(jobs.values()) <= MANY * self._most_jobs:
             return dict.fromkeys(jobs, (0.0, 1.0, 0.0))
-        parts = parts_of_all(jobs, int(MANY * self._most_jobs))
+        parts = parts_of_all(jobs, int(MOST * self._most_jobs))
         span = max((self.node.now - self._written_at).total_seconds(), 1.0)
         known = self._shares()
         came, gone = self._flow
--- a/src/gladecroft/coordination/admission/needs.py
+++ b/src/gladecroft/coordination/admission/needs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
+from typing import TypeVar
 
 import msgspec
 
@@ -10,6 +11,8 @@
 from gladecroft.coordination.admission.shares import Amounts, Need, dominant, fair_parts
 from gladecroft.protocol.settings import Team
 
+K = TypeVar("K", bound=Hashable)
+
 #: The part of its fair share below which a group comes before all others. The rest of the share may be lent out for as
 #: long as jobs that were begun take.
 FLOOR = 0.5
@@ -52,16 +55,35 @@
         limit = teams.get(team)
         guaranteed, most = (0.0, 1.0) if limit is None else _parts(limit, wanted)
         needs[team] = Need(wanted, 1.0, guaranteed, most)
+    parts = fair_parts(needs, capacity)
+    may_have = _due({team: (need.amounts[0], parts[team], need.most) for team, need in needs.items()})
     shares: dict[Group, Share] = {}
-    for team, part in fair_parts(needs, capacity).items():
+    for team, part in parts.items():
+        limit = teams.get(team)
+        due = may_have[team] if limit is None else min(may_have[team], limit.most_cpus)
         there = tuple(each * part for each in needs[team].amounts)
-        within = fair_parts({group: Need(each.wanted) for group, each in of_team[team].items()}, there)
-        for group, each_part in within.items():
-            cpus = of_team[team][group].wanted[0] * each_part
-            shares[group] = Share(round(cpus, 3), round(FLOOR * cpus, 3))
+        wants = {group: Need(each.wanted) for group, each in of_team[team].items()}
+        within = fair_parts(wants, there)
+        due_within = _due({group: (want.amounts[0], within[group], 1.0) for group, want in wants.items()})
+        # What the team could have besides is any of its classes' that comes to need it.
+        spare = max(0.0, due - there[0]) / len(wants)
+        for group, cpus in due_within.items():
+            shares[group] = Share(round(cpus + spare, 3), round(FLOOR * (cpus + spare), 3))
     return shares
 
 
+def _due(got: Mapping[K, tuple[float, float, float]]) -> dict[K, float]:
+    """The cores that each would have by right, from what it wants, the part of that which it gets, and the most that it
+    may: who has all that it wants could have as many as the least of those who have not.
+
+    Held to what it wanted a moment ago, a group that needs a little more would at once have more than its share, and be
+    evicted for others until the next generation.
+    """
+    short = [want * part for want, part, most in got.values() if part < min(1.0, most) - 1e-6]
+    least = min(short, default=0.0)
+    return {key: max(want * part, least if part >= 1 - 1e-6 else 0.0) for key, (want, part, _) in got.items()}
+
+
 def _parts(limit: Team, wanted: Amounts) -> tuple[float, float]:
     """The parts of a team's need that its guarantee covers and that its limit allows."""
     by_right = (limit.cpus, limit.gpus)
--- a/src/gladecroft/coordination/admission/tiers.py
+++ b/src/gladecroft/coordination/admission/tiers.py
@@ -18,6 +18,13 @@
         self._shares: dict[Group, GroupShare] = {(each.team, each.job_class): each for each in record.groups}
         self._groups = groups
         self._planned: dict[Group, float] = {}
+        #: Groups that have no more than their share, or of which nothing is agreed yet because they have just come: for
+        #: others to evict them would undo at once what their floor has placed.
+        self.spared: frozenset[Group] = frozenset(
+            group
+            for group, use in groups.items()
+            if (share := self._shares.get(group)) is None or use.used[0] <= share.share + 1e-6
+        )
 
     def of(self, group: Group, pressing: bool) -> int:
         """``pressing``: work within its team's guarantee is never last."""
--- a/src/gladecroft/coordination/placers/choice.py
+++ b/src/gladecroft/coordination/placers/choice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.picture import Picture
 from gladecroft.bookkeeping.records import TaskRecord
@@ -11,9 +13,9 @@
 UNKNOWN = "?"
 
 
-def need_of(job: Job, inside: bool, home: str, gentle: bool = False) -> Need:
+def need_of(job: Job, inside: bool, home: str, gentle: bool = False, spared: Container[tuple[str, str]] = ()) -> Need:
     spec = job.spec
-    return Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside, home, gentle)
+    return Need(spec.cpus, spec.gpus, spec.memory_gb, spec.image, job.rank, spec.team, inside, home, gentle, spared)
 
 
 def zone_room(picture: Picture, job: Job) -> tuple[dict[str, int], int]:
--- a/src/gladecroft/coordination/placers/floor.py
+++ b/src/gladecroft/coordination/placers/floor.py
@@ -108,7 +108,7 @@
         spec = job.spec
         stopping = task.state is TaskState.STOPPING or job.cancelled
         return Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team,
-                        job.id in guaranteed, task.placed_s, stopping,
+                        job.id in guaranteed, task.placed_s, stopping, spec.job_class,
                         job.occupied if spec.kind is Kind.GANG else 1)  # fmt: skip
 
     def plan_on(self, slot: Slot) -> None:
--- a/src/gladecroft/coordination/placers/placement.py
+++ b/src/gladecroft/coordination/placers/placement.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from bisect import insort
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -29,6 +29,9 @@
     home: str = ""
     #: Has more than its fair share in an overload: it takes what is free, and pushes nobody away.
     gentle: bool = False
+    #: Teams' classes that have no more than their fair share in an overload: their work is pushed away only for a
+    #: guarantee.
+    spared: Container[tuple[str, str]] = ()
 
 
 class Resident(msgspec.Struct, gc=False, eq=False):
@@ -44,6 +47,7 @@
     guaranteed: bool
     placed: int
     stopping: bool = False
+    job_class: str = ""
     #: How many tasks stop if this one is evicted: all of a gang's, else one.
     together: int = 1
 
@@ -152,6 +156,8 @@
     """PROTOCOL's preemption rules; work within its team's guarantee is never evicted."""
     if victim.guaranteed or victim.stopping or need.gentle:
         return False
+    if need.spared and not need.guaranteed and (victim.team, victim.job_class) in need.spared:
+        return False
     return need.rank < victim.rank or (need.guaranteed and victim.team != need.team)
 
 
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -9,7 +9,7 @@
 from gladecroft.bookkeeping.change import Change
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
-from gladecroft.coordination.admission.tiers import LAST, Tiers
+from gladecroft.coordination.admission.tiers import FIRST, LAST, Tiers
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.membership import Membership
@@ -123,6 +123,8 @@
             # Once the transaction is full there is nothing more to carry out; the next round plans anew.
             if most <= 0 or not change.room(1, 0):
                 break
+            if self._short == NO_ROOM and self._tiers is not None and self._tiers.of(row.group, row.pressing) == FIRST:
+                self._set_aside(job)
             if self._short:
                 self._give_up(round_, row, job, change)
 
@@ -155,6 +157,30 @@
             if small.cpus >= spec.cpus and small.gpus >= spec.gpus and small.memory_gb >= spec.memory_gb:
                 round_.close(row, why)
 
+    def _set_aside(self, job: Job) -> None:
+        """Keep the emptiest machine that could hold a task of a job that comes first and fits nowhere.
+
+        Else small tasks would take each bit of room that comes up, and one as big as a machine would never start. What
+        nobody takes from grows emptier with each round, so it stays the same machine; all homes set the same one aside.
+        """
+        need = need_of(job, False, "")
+        if need.cpus <= self.picture.waiting.smallest():
+            return  # nobody smaller could take the room from under it
+        best: Slot | None = None
+        for slot in self.floor.usable(job):
+            if (
+                slot.cpus + TINY >= need.cpus
+                and slot.gpus + TINY >= need.gpus
+                and slot.memory_gb + TINY >= need.memory_gb
+            ):
+                key = (slot.free_cpus + slot.coming_cpus, slot.machine)
+                if best is None or key > (best.free_cpus + best.coming_cpus, best.machine):
+                    best = slot
+        if best is not None:
+            self.floor.plan_on(best)
+            best.free_cpus = best.free_gpus = best.free_memory = 0.0
+            best.coming_cpus = best.coming_gpus = best.coming_memory = 0.0
+
     def held(self, job: Job) -> bool:
         """Whether a policy says that the job's tasks may not start yet."""
         panel = self.node.panel
@@ -223,7 +249,7 @@
             room, why = 0, "some of its machines are not known yet"
         tiers = self._tiers
         gentle = tiers is not None and tiers.of((spec.team, spec.job_class), inside) == LAST
-        need = need_of(job, inside, home, gentle)
+        need = need_of(job, inside, home, gentle, () if tiers is None else tiers.spared)
         high = need.rank <= self.floor.line
         kept_out = not high and not inside and self._spare < need.cpus
         taken = evicted = 0
