Shares are agreed on only after what a start takes

Change: a group starves when it has been below its floor for its class's patience, but 30 s at least and 60 s at most.

--- a/src/gladecroft/coordination/admission/admission.py
+++ b/src/gladecroft/coordination/admission/admission.py
@@ -24,7 +24,9 @@
 log = logging.getLogger(__name__)
 
 LOOK_EVERY = timedelta(seconds=1)
-#: A group starves when it has been below its floor for its class's patience, or this long if that is longer.
+#: A group starves when it has been below its floor for its class's patience, but no sooner and no later than this. New
+#: machines take half a minute: a class with an aim of two seconds is below its floor at every start.
+LEAST_PATIENCE = timedelta(seconds=30)
 LONGEST_PATIENCE = timedelta(seconds=60)
 #: The record is written at most this often, and counts for this long after that. So a change of owner costs some
 #: generations at the most, and a record that nobody renews is soon none.
@@ -116,7 +118,8 @@
         below = starving(held, shares)
         self._since = {group: self._since.get(group, now) for group in below}
         for group, since in self._since.items():
-            if now - since >= min(LONGEST_PATIENCE, timedelta(seconds=self._patience(group[1]))):
+            patience = timedelta(seconds=min(self._patience(group[1]), LONGEST_PATIENCE.total_seconds()))
+            if now - since >= max(LEAST_PATIENCE, patience):
                 self._pressed = True
         self._pressed |= many
         if self._pressed:
