--- a/src/gladecroft/coordination/admission/tiers.py
+++ b/src/gladecroft/coordination/admission/tiers.py
@@ -18,13 +18,11 @@
         self._shares: dict[Group, GroupShare] = {(each.team, each.job_class): each for each in record.groups}
         self._groups = groups
         self._planned: dict[Group, float] = {}
-        #: Groups that have no more than their share, or of which nothing is agreed yet because they have just come: for
-        #: others to evict them would undo at once what their floor has placed.
-        self.spared: frozenset[Group] = frozenset(
-            group
-            for group, use in groups.items()
-            if (share := self._shares.get(group)) is None or use.used[0] <= share.share + 1e-6
-        )
+        # Groups that have no more than their share, or of which nothing is agreed yet because they have just come: for
+        # others to evict them would undo at once what their floor has placed. Who is below its own floor may evict, by
+        # its priority, what others have above theirs.
+        self._at_share = frozenset(group for group in groups if not self._above(group, share=True))
+        self._at_floor = frozenset(group for group in groups if not self._above(group, share=False))
 
     def of(self, group: Group, pressing: bool) -> int:
         """``pressing``: work within its team's guarantee is never last."""
@@ -37,6 +35,16 @@
             return FIRST
         return LAST if has >= share.share and not pressing else USUAL
 
+    def _above(self, group: Group, share: bool) -> bool:
+        agreed = self._shares.get(group)
+        if agreed is None:
+            return False
+        return self._groups[group].used[0] > (agreed.share if share else agreed.floor) + 1e-6
+
+    def spared(self, tier: int) -> frozenset[Group]:
+        """Whose work is not evicted from a tier, but for a guarantee."""
+        return self._at_floor if tier == FIRST else self._at_share
+
     def plan(self, group: Group, cpus: float) -> None:
         if group in self._shares:
             self._planned[group] = self._planned.get(group, 0.0) + cpus
--- a/src/gladecroft/coordination/placers/placement.py
+++ b/src/gladecroft/coordination/placers/placement.py
@@ -29,7 +29,7 @@
     home: str = ""
     #: Has more than its fair share in an overload: it takes what is free, and pushes nobody away.
     gentle: bool = False
-    #: Teams' classes that have no more than their fair share in an overload: their work is pushed away only for a
+    #: Teams' classes that have no more than their floor or share in an overload: their work is pushed away only for a
     #: guarantee.
     spared: Container[tuple[str, str]] = ()
 
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -9,7 +9,7 @@
 from gladecroft.bookkeeping.change import Change
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
-from gladecroft.coordination.admission.tiers import FIRST, LAST, Tiers
+from gladecroft.coordination.admission.tiers import FIRST, LAST, USUAL, Tiers
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.ledger import Ledger
 from gladecroft.coordination.membership import Membership
@@ -248,8 +248,8 @@
         if spec.one_zone and cap < spec.tasks:
             room, why = 0, "some of its machines are not known yet"
         tiers = self._tiers
-        gentle = tiers is not None and tiers.of((spec.team, spec.job_class), inside) == LAST
-        need = need_of(job, inside, home, gentle, () if tiers is None else tiers.spared)
+        tier = USUAL if tiers is None else tiers.of((spec.team, spec.job_class), inside)
+        need = need_of(job, inside, home, tier == LAST, () if tiers is None else tiers.spared(tier))
         high = need.rank <= self.floor.line
         kept_out = not high and not inside and self._spare < need.cpus
         taken = evicted = 0
@@ -264,7 +264,7 @@
         )
         if self.node.panel is not None and self.node.panel.by_job():
             where = (*where, job.id)  # what is no room for one job may be room for another
-        push = (*where, need.rank, need.guaranteed, need.team, gentle)
+        push = (*where, need.rank, need.guaranteed, need.team, tier)
         ranking: Ranking | None = None
         usable: list[Slot] = []
         # Where nothing is free only what comes up or may be pushed away is looked at.
