Teams weigh by their guarantees, and a group starves only if it is served worse than the rest

Change: what is left after guarantees is shared by them; a group must also have less than half of what all have of their wants.

--- a/src/gladecroft/coordination/admission/needs.py
+++ b/src/gladecroft/coordination/admission/needs.py
@@ -16,6 +16,8 @@
 #: The part of its fair share below which a group comes before all others. The rest of the share may be lent out for as
 #: long as jobs that were begun take.
 FLOOR = 0.5
+#: Below this part of its floor a group is clearly below it.
+CLEARLY = 0.9
 
 
 class Held(msgspec.Struct, frozen=True):
@@ -49,14 +51,15 @@
     of_team: dict[str, dict[Group, Held]] = {}
     for group, each in held.items():
         of_team.setdefault(group[0], {})[group] = each
+    weights = _weights(teams)
     needs: dict[str, Need] = {}
     for team, groups in of_team.items():
         wanted = _sum_all([each.wanted for each in groups.values()])
         limit = teams.get(team)
         guaranteed, most = (0.0, 1.0) if limit is None else _parts(limit, wanted)
-        needs[team] = Need(wanted, 1.0, guaranteed, most)
+        needs[team] = Need(wanted, weights.get(team, 1.0), guaranteed, most)
     parts = fair_parts(needs, capacity)
-    may_have = _due({team: (need.amounts[0], parts[team], need.most) for team, need in needs.items()})
+    may_have = _due({team: _Got(need.amounts[0], parts[team], need.most, need.weight) for team, need in needs.items()})
     shares: dict[Group, Share] = {}
     for team, part in parts.items():
         limit = teams.get(team)
@@ -64,7 +67,7 @@
         there = tuple(each * part for each in needs[team].amounts)
         wants = {group: Need(each.wanted) for group, each in of_team[team].items()}
         within = fair_parts(wants, there)
-        due_within = _due({group: (want.amounts[0], within[group], 1.0) for group, want in wants.items()})
+        due_within = _due({group: _Got(want.amounts[0], within[group]) for group, want in wants.items()})
         # What the team could have besides is any of its classes' that comes to need it.
         spare = max(0.0, due - there[0]) / len(wants)
         for group, cpus in due_within.items():
@@ -72,16 +75,35 @@
     return shares
 
 
-def _due(got: Mapping[K, tuple[float, float, float]]) -> dict[K, float]:
-    """The cores that each would have by right, from what it wants, the part of that which it gets, and the most that it
-    may: who has all that it wants could have as many as the least of those who have not.
+def _weights(teams: Mapping[str, Team]) -> dict[str, float]:
+    """What is left after the guarantees is shared out as these are: they tell how large a team is meant to be. A team
+    with none weighs as much as the smallest that has one."""
+    least = min((team.cpus for team in teams.values() if team.cpus > 0), default=1.0)
+    return {name: (team.cpus or least) / least for name, team in teams.items()}
+
+
+class _Got(msgspec.Struct, frozen=True):
+    """Cores wanted, the part of them that is got, the most that it may be, and the weight."""
+
+    wanted: float
+    part: float
+    most: float = 1.0
+    weight: float = 1.0
+
+
+def _due(got: Mapping[K, _Got]) -> dict[K, float]:
+    """The cores that each would have by right: who has all that it wants could have as many, by its weight, as the
+    least of those who have not.
 
     Held to what it wanted a moment ago, a group that needs a little more would at once have more than its share, and be
     evicted for others until the next generation.
     """
-    short = [want * part for want, part, most in got.values() if part < min(1.0, most) - 1e-6]
-    least = min(short, default=0.0)
-    return {key: max(want * part, least if part >= 1 - 1e-6 else 0.0) for key, (want, part, _) in got.items()}
+    short = [each.wanted * each.part / each.weight for each in got.values() if each.part < min(1.0, each.most) - 1e-6]
+    level = min(short, default=0.0)
+    return {
+        key: max(each.wanted * each.part, level * each.weight if each.part >= 1 - 1e-6 else 0.0)
+        for key, each in got.items()
+    }
 
 
 def _parts(limit: Team, wanted: Amounts) -> tuple[float, float]:
@@ -100,13 +122,20 @@
     return total
 
 
-def starving(held: Mapping[Group, Held], shares: Mapping[Group, Share], slack: float = 0.9) -> list[Group]:
-    """Groups that wait and have less than their floor, those that lack most of it first."""
+def starving(held: Mapping[Group, Held], shares: Mapping[Group, Share], capacity: Amounts) -> list[Group]:
+    """Groups that wait and have clearly less than their floor, and less than half of what all have of what they want.
+    Those come first that lack most of it.
+
+    In a flood of all alike the largest groups may be below an even share and yet be served as well as any.
+    """
+    wanted = sum(each.wanted[0] for each in held.values())
+    part = min(1.0, capacity[0] / wanted) if wanted > 0 else 1.0
     lacking: list[tuple[float, Group]] = []
     for group, share in shares.items():
         each = held[group]
-        if each.waiting[0] > 0 and share.floor > 0 and each.used[0] < slack * share.floor:
-            lacking.append((each.used[0] / share.floor, group))
+        floor = min(share.floor, FLOOR * part * each.wanted[0])
+        if each.waiting[0] > 0 and floor > 0 and each.used[0] < CLEARLY * floor:
+            lacking.append((each.used[0] / floor, group))
     return [group for _, group in sorted(lacking)]
 
 
