--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -45,7 +45,7 @@
         self.users = Users(self.node, self.membership, self.placers.fits)
         self.users.desk.reason = self.placers.reason
         if self.admission is not None:
-            self.users.wait_of, self.users.agreed = self.admission.wait_of, True
+            self.users.wait_of = self.admission.wait_of
         self.orders = Orders(self.node, self.membership, self.ledger)
 
     def step(self, clock: Clock, events: list[Event]) -> list[Effect]:
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -56,7 +56,7 @@
         self._short = ""
         #: What is agreed for this round, if anything is, and where that is known.
         self._tiers: Tiers | None = None
-        self.agreed: Callable[[], Tiers | None] = lambda: None
+        self.agreed: Callable[[], Tiers | None] | None = None
         self.gangs = Gangs(node, ledger, self.floor, self.chooser, self.stops, self.writer, self.wait)
         self._retry: dict[tuple[str, int, int], timedelta] = {}
         #: Needs for which this round has found no room, by what kind of room it looked for.
@@ -134,7 +134,7 @@
 
     def begin(self) -> tuple[Tiers | None, Round]:
         """A round through all that waits, in the order that is agreed; ``Lineup.refresh`` comes before it."""
-        tiers = self.agreed()
+        tiers = None if self.agreed is None else self.agreed()
         if tiers is None:
             return None, self.lineup.round()
         return tiers, self.lineup.round(lambda row: tiers.of(row.group, row.pressing))
--- a/src/gladecroft/coordination/users/users.py
+++ b/src/gladecroft/coordination/users/users.py
@@ -44,10 +44,9 @@
         self.picture = node.picture
         self.desk = Desk(node)
         self._fits = fits
-        #: After how many seconds a new job is to be submitted again for which there is no room in its group; None: it
-        #: is taken. ``agreed``: whether there is such an agreement at all.
-        self.wait_of: Callable[[JobSpec], int | None] = lambda spec: None
-        self.agreed = False
+        #: After how many seconds a new job is to be submitted again for which there is no room in its group (None: it
+        #: is taken); None: shares are not agreed on at all.
+        self.wait_of: Callable[[JobSpec], int | None] | None = None
         self._lookups = Lookups(node, self.desk, self._found)
         self._changes = Changes(node, membership, self.desk, self._route, self._lookups.read, self._tell_known)
         self._confirm: dict[str, list[Waiting]] = {}
@@ -78,7 +77,7 @@
         if node.state_down():
             node.refuse(asked.number, 503, "the state service does not answer", self._retry_after(asked.job, 2))
             return
-        most = WAITING_PER_MB * node.cluster.limits.memory_mb * (OPEN_TO[asked.verb] if self.agreed else 1.0)
+        most = WAITING_PER_MB * node.cluster.limits.memory_mb * (OPEN_TO[asked.verb] if self.wait_of else 1.0)
         if len(self.desk.open) >= most:
             node.refuse(asked.number, 429, "too many requests wait", self._retry_after(asked.job, 3))
             return
@@ -107,7 +106,7 @@
 
     def _retry_after(self, job: str, usual: int | None) -> int | None:
         """Spread, so that those who are refused together do not come back together."""
-        if not self.agreed or usual is None:
+        if self.wait_of is None or usual is None:
             return usual
         return usual + int(position(self.node.name, job) * (2 * usual + 1))
 
@@ -123,7 +122,7 @@
         # What can never run is told so, whatever the load.
         if len(self.picture.jobs) >= JOBS_PER_MB * self.node.cluster.limits.memory_mb:
             return 429, "too many jobs are unfinished"
-        if self.wait_of(spec) is not None:
+        if self.wait_of is not None and self.wait_of(spec) is not None:
             return 429, f"too many jobs of {spec.team}, {spec.job_class}, are unfinished"
         return None
 
@@ -220,8 +219,8 @@
         assert waiting.spec is not None
         verdict = self._judge(waiting.spec)
         if verdict is not None:
-            usual = self.wait_of(waiting.spec) if verdict[0] == 429 else None
-            after = usual or self._retry_after(waiting.spec.id, RETRY_AFTER.get(verdict[0]))
+            turn = self.wait_of(waiting.spec) if self.wait_of is not None and verdict[0] == 429 else None
+            after = turn or self._retry_after(waiting.spec.id, RETRY_AFTER.get(verdict[0]))
             self.desk.refuse(waiting, verdict[0], verdict[1], after)
         else:
             waiting.tries += 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,6 +19,7 @@
 from gladecroft.coordination.admission.shares import Amounts, Need, dominant, fair_parts
 from gladecroft.coordination.admission.tiers import FIRST, LAST, USUAL, Tiers
 from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Verb, Watched, by_urgency
+from gladecroft.lab.overload import FLEET, drip, fleet, pour, started
 from gladecroft.lab.scenario import Scenario
 from gladecroft.lab.world import Replier, seconds
 from gladecroft.protocol import wire
@@ -99,29 +100,12 @@
     assert tiers.of(("t", "x"), False) == LAST and tiers.of(("t", "x"), True) == USUAL
 
 
-FLOOD = """
-nodes {nodes}
-set machine.consolidate=false
-set admission={on}
-state rps=300 write_rps=60 txn_ops=24
-team a cpus=0 max=0
-team b cpus=0 max=0
-type g16 cpus=16 memory=64 count=0 spot=0
-up g16 count=4
-up g16 zone=b count=4
-"""
-
-
 def flood(on: bool, nodes: int = 3, until: float = 300.0, deeds: list[tuple[float, str]] | None = None) -> Scenario:
     """Urgent arrays of one team, three times as much as eight machines can do, and a normal one of another team now and
     then."""
-    scenario = Scenario(FLOOD.format(on=str(on).lower(), nodes=nodes), 1).run()
-    for number in range(int(until / 2)):
-        words = ["submit", f"wk-1{number:04d}", "team=a", "priority=urgent", "tasks=24", "cpus=4", "run=8"]
-        scenario.world.at(seconds(2 + number * 2.0), partial(scenario._do, words))
-    for number in range(int(until / 20)):
-        words = ["submit", f"wk-2{number:04d}", "team=b", "tasks=8", "cpus=4", "run=8"]
-        scenario.world.at(seconds(10 + number * 20.0), partial(scenario._do, words))
+    scenario = fleet(on, nodes)
+    pour(scenario, 3.0, until)
+    assert drip(scenario, until + 10) == 15
     for at, deed in deeds or []:
         scenario.world.at(seconds(at), partial(scenario._do, deed.split()))
     scenario.world.run_until(seconds(until))
@@ -129,11 +113,6 @@
     return scenario
 
 
-def started(scenario: Scenario, team: str) -> int:
-    """Tasks of the team that were started at least once."""
-    return len({start[1] for start in scenario.oracle.starts if start[1][0].startswith(f"wk-{team}")})
-
-
 def test_in_a_flood_of_higher_priority_no_team_starves() -> None:
     before, after = flood(False), flood(True)
     assert started(before, "2") == 0, "strict priorities leave nothing to the lower one: else this shows nothing"
@@ -161,7 +140,8 @@
 
 def asked_of_the_state_service(on: str) -> list[tuple[str, str]]:
     """What is asked of it in a minute and a half in which there is room for all."""
-    scenario = Scenario(FLOOD.format(on=on, nodes=3).replace("count=0", "count=9"), 1).run()
+    text = FLEET.format(on=on, nodes=3, guarantee=0).replace("count=0", "count=9")
+    scenario = Scenario(text, 1).run()
     asked: list[tuple[str, str]] = []
     serve = scenario.state.serve
 
@@ -181,7 +161,8 @@
 def test_switched_off_or_without_an_overload_it_asks_for_nothing() -> None:
     assert asked_of_the_state_service("false") == asked_of_the_state_service("true")
     rig = Rig(Operator())
-    assert rig.core.admission is None and rig.core.placers.agreed() is None
+    core = rig.core
+    assert core.admission is None and core.placers.agreed is None and core.users.wait_of is None
 
 
 def test_an_agreement_that_nobody_renews_ends_by_itself() -> None:
@@ -333,26 +314,11 @@
 
 # Hard cases -----------------------------------------------------------------------------------------------------------
 
-HARD = """
-nodes 3
-set machine.consolidate=false
-set admission=true
-state rps=300 write_rps=60 txn_ops=24
-team a cpus={guarantee} max=0
-team b cpus=0 max=0
-team d cpus=0 max=0
-type g16 cpus=16 memory=64 count=0 spot=0
-up g16 count=4
-up g16 zone=b count=4
-"""
 
-
-def hard(deeds: list[tuple[float, str]], until: float, guarantee: int = 0, flood: str = "production") -> Scenario:
+def hard(deeds: list[tuple[float, str]], until: float, guarantee: int = 0, priority: str = "production") -> Scenario:
     """A flood of one class of one team at production priority, and what else is done to a fleet of eight machines."""
-    scenario = Scenario(HARD.format(guarantee=guarantee), 1).run()
-    for number in range(int(until / 2)):
-        words = ["submit", f"wk-1{number:04d}", "team=a", f"priority={flood}", "tasks=24", "cpus=4", "run=8"]
-        scenario.world.at(seconds(2 + number * 2.0), partial(scenario._do, words))
+    scenario = fleet(True, 3, guarantee)
+    pour(scenario, 3.0, until, priority)
     for at, deed in deeds:
         scenario.world.at(seconds(at), partial(scenario._do, deed.split()))
     scenario.world.run_until(seconds(until))
@@ -374,7 +340,7 @@
 
 
 def test_a_guarantee_is_kept_in_a_flood() -> None:
-    scenario = hard([(20.0, "submit wk-20000 team=b tasks=400 cpus=4 run=8")], 200.0, guarantee=64, flood="normal")
+    scenario = hard([(20.0, "submit wk-20000 team=b tasks=400 cpus=4 run=8")], 200.0, guarantee=64, priority="normal")
     # Both always want more than there is: half of the machines are a's by right, and b is not left with less.
     late = [start for start in scenario.oracle.starts if start[0] > 120]
     mine = len([start for start in late if start[1][0].startswith("wk-1")])
@@ -400,7 +366,7 @@
 
 
 def test_the_same_id_sent_to_five_controllers_at_once_is_accepted_once() -> None:
-    scenario = Scenario(HARD.replace("nodes 3", "nodes 5").format(guarantee=0), 1).run()
+    scenario = fleet(True, 5)
     scenario.world.run_until(seconds(5))
     words = ["submit", "wk-1", "team=a", "cpus=4", "run=4"]
     for _ in range(8):
