A job without room uses up nothing of its team's limit in the fleet's plan

Cause: since the plan counts a team's limit once, not once a job, a large job that found no room still took it, and nothing was planned for the jobs of its team behind it. Change: only what has found room is taken from the limit.

--- a/src/gladecroft/coordination/fleet/plan.py
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -117,34 +116,40 @@
         """Put a job's waiting tasks into bins, opening new ones by the cheapest kinds. ``everywhere``: work of high
         priority or within a guarantee, from which no reserve is kept. False if no room is to be had for the rest."""
         spec = job.spec
-        left = job.queued_count
-        if spec.cpus > 0:
-            may_run = self.may_run.get(spec.team)
-            if may_run is None:
-                may_run = self.may_run[spec.team] = self.terms.limit_room(spec.team)
-            if may_run < left * spec.cpus:
-                left = int((may_run + 1e-6) / spec.cpus)
+        may_run = self.may_run.get(spec.team)
+        if may_run is None:
+            may_run = self.may_run[spec.team] = self.terms.limit_room(spec.team)
+        wanted = job.queued_count
+        if spec.cpus > 0 and may_run < wanted * spec.cpus:
+            wanted = max(0, int((may_run + 1e-6) / spec.cpus))
+        left = self._fill(job, wanted, everywhere)
+        # Only what has found room uses up the team's limit.
+        self.may_run[spec.team] = may_run - (wanted - left) * spec.cpus
+        return left <= 0 < wanted
+
+    def _fill(self, job: Job, left: int, everywhere: bool) -> int:
+        """How many of so many tasks find no room."""
+        if left <= 0:
+            return 0
+        spec = job.spec
         zones, cap = self.terms.zone_room(job) if spec.spread or spec.one_zone else ({}, spec.tasks)
         only: str | None = next(iter(zones)) if spec.one_zone and zones else None
-        if left <= 0:
-            return False
-        self.may_run[spec.team] = self.may_run.get(spec.team, math.inf) - left * spec.cpus
         left = self._fill_open(job, left, zones, cap, only, everywhere)
         while left > 0:
             sort = self._cheapest(job, zones, cap, only)
             if sort is None:
-                return False
+                break
             bin = empty_bin(sort, self.terms.types[sort[0]])
             count = min(left, bin.holds(job), cap - zones.get(sort[1], 0))
             if count <= 0:
-                return False
+                break
             bin.take(job, count)
             self.room.add(bin)
             self.in_zone[sort[1]] = self.in_zone.get(sort[1], 0) + 1
             self.want[sort] = self.want.get(sort, 0) + 1
             zones[sort[1]] = zones.get(sort[1], 0) + count
             left -= count
-        return True
+        return left
 
     def _fill_open(
         self, job: Job, left: int, zones: dict[str, int], cap: int, only: str | None, everywhere: bool
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -15,12 +15,13 @@
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.bookkeeping.teams import Guarantees
+from gladecroft.coordination.fleet.plan import Plan, Room, Terms
 from gladecroft.coordination.placers.lineup import Lineup
 from gladecroft.coordination.placers.placers import MANY_MOVED
 from gladecroft.lab.scenario import Scenario
 from gladecroft.lab.world import START, seconds
 from gladecroft.protocol.settings import Objective, Team
-from gladecroft.protocol.wire import Kind
+from gladecroft.protocol.wire import Kind, MachineType
 from test_epochs import clock
 from test_fencing import SPEC, Rig
 
@@ -208,3 +209,26 @@
             placers.place(Change(picture, 12, 50_000))
     assert len(picture.requeued) <= MANY_MOVED + 100
     assert len(picture.waiting._noted) == len(picture.jobs) == 1
+
+
+def test_a_job_without_room_uses_up_nothing_of_its_teams_limit_in_the_fleets_plan() -> None:
+    """Else what stands behind a large job of its team is not planned for, and nothing is rented for it."""
+    kind = MachineType("g", 16, 64, 1, 1, 30, ["a"], 0)
+    picture = Rig().core.node.picture
+    spec = msgspec.structs.replace(SPEC, types=None, zone=None, spot=False, spread=False, gpus=0.0, kind=Kind.ARRAY)
+
+    def job(name: str, tasks: int, cpus: float, memory: float) -> Job:
+        each = msgspec.structs.replace(spec, id=name, tasks=tasks, cpus=cpus, memory_gb=memory)
+        return Job(rec.JobRecord(each, 0), 1, picture.size)
+
+    terms = Terms(
+        {"g": kind}, lambda spec, name, zone, spot: spec.memory_gb <= 64, lambda job: ({}, 99), lambda team: 100.0
+    )
+    plan = Plan(terms, Room([], 1.0), 0.0, 0.0, {})
+    assert not plan.fill(job("wk-1", 20, 4.0, 900.0), True)  # no machine is as large
+    assert plan.fill(job("wk-2", 10, 4.0, 1.0), True)
+    assert plan.want == {("g", "a", False): 3} or plan.want == {("g", "a", True): 3}
+    # The limit leaves 60 cores to all of the team's jobs together, not to each.
+    assert plan.fill(job("wk-3", 40, 4.0, 1.0), True)
+    assert sum(plan.want.values()) == 7
+    assert not plan.fill(job("wk-4", 1, 4.0, 1.0), True)
