--- a/src/gladecroft/bookkeeping/teams.py
+++ b/src/gladecroft/bookkeeping/teams.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
 from collections import Counter
 from collections.abc import Mapping
 
+from sortedcontainers import SortedList
+
 from gladecroft.bookkeeping.job import Job
 from gladecroft.protocol.settings import Team
 from gladecroft.protocol.wire import JobSpec, Kind
@@ -47,7 +48,7 @@
         #: The jobs within their team's guarantee, and the teams that have more unfinished work than that.
         self.inside: set[str] = set()
         self.crowded: set[str] = set()
-        self._order: dict[str, list[tuple[int, str]]] = {}
+        self._order: dict[str, SortedList[tuple[int, str]]] = {}
         self._places: dict[str, tuple[int, str]] = {}
         self._inside: dict[str, set[str]] = {}
         self._stale: set[str] = set()
@@ -60,14 +61,13 @@
             self.forget(job)
         elif job.spec.team in self._limits:
             place = self._places[job.id] = (job.record.accepted_ms, job.id)
-            insort(self._order.setdefault(job.spec.team, []), place)
+            self._order.setdefault(job.spec.team, SortedList()).add(place)
             self._stale.add(job.spec.team)
 
     def forget(self, job: Job) -> None:
         place = self._places.pop(job.id, None)
         if place is not None:
-            order = self._order[job.spec.team]
-            del order[bisect_left(order, place)]
+            self._order[job.spec.team].remove(place)
             self._stale.add(job.spec.team)
 
     def refresh(self, jobs: Mapping[str, Job]) -> set[str]:
--- a/src/gladecroft/bookkeeping/waiting.py
+++ b/src/gladecroft/bookkeeping/waiting.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
 from collections import Counter
 
+from sortedcontainers import SortedList
+
 from gladecroft.bookkeeping.job import Job
 from gladecroft.protocol.wire import Kind
 
@@ -20,7 +21,7 @@
     def __init__(self) -> None:
         self.jobs = self.urgent = self.services = 0
         self.cpus = 0.0
-        self.sizes: list[float] = []
+        self.sizes: SortedList[float] = SortedList()
         #: Jobs that wait or will end soon: the ones that changes are spent on.
         self.weight = 0
 
@@ -110,9 +111,9 @@
             team.services += step * (spec.kind is Kind.SERVICE)
             self.ranks[job.rank] += step
             if step > 0:
-                insort(team.sizes, spec.cpus)
+                team.sizes.add(spec.cpus)
             else:
-                del team.sizes[bisect_left(team.sizes, spec.cpus)]
+                team.sizes.remove(spec.cpus)
         team.weight += weighs - noted.weight
         team.cpus += (queued - noted.queued) * spec.cpus
         if not team.jobs:
--- a/src/gladecroft/coordination/placers/lineup.py
+++ b/src/gladecroft/coordination/placers/lineup.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 import heapq
-from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator
 from typing import Any
 
 import msgspec
+from sortedcontainers import SortedList
 
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.picture import Picture
@@ -38,8 +38,8 @@
         self.pressing = pressing
         #: Work within a guarantee first, then by priority.
         self.privilege = (not pressing, job.rank)
-        self.places: list[Place] = []
-        self.sizes: list[Size] = []
+        self.places: SortedList[Place] = SortedList()
+        self.sizes: SortedList[Size] = SortedList()
         #: Why the row was last closed, and in which round.
         self.why = ""
         self.why_round = -1
@@ -120,16 +120,16 @@
         spec = job.spec
         size = (spec.cpus, spec.gpus, spec.memory_gb, name)
         self._entries[name] = Entry(row, place, size, pressing, due)
-        insort(row.places, place)
-        insort(row.sizes, size)
+        row.places.add(place)
+        row.sizes.add(size)
         if due < float("inf"):
             # A due that has passed already is looked at again with the next round, not in this one.
             heapq.heappush(self._due, (max(due, now + 1e-3), name))
 
     def _take_out(self, entry: Entry) -> None:
         row = entry.row
-        del row.places[bisect_left(row.places, entry.place)]
-        del row.sizes[bisect_left(row.sizes, entry.size)]
+        row.places.remove(entry.place)
+        row.sizes.remove(entry.size)
         if not row.places:
             del self._rows[row.key]
 
@@ -196,8 +196,7 @@
             if id(row) in self._closed:
                 continue
             lacking = self._lacking.get(id(row))
-            for after in range(at + 1, len(row.places)):
-                place = row.places[after]
+            for after, place in enumerate(row.places.islice(at + 1), at + 1):
                 if lacking is None or not self._too_big(self._jobs[place[2]], lacking):
                     heapq.heappush(heads, (level, privilege, place, after, index, row))
                     break
