What a round finds lacking is a room of its own; the filling of shares is one class

Change: Shortage holds what has found no room, the machines to push on and the one set aside; a round says itself whether a row is to be closed. Nothing behaves differently.

--- a/src/gladecroft/coordination/admission/shares.py
+++ b/src/gladecroft/coordination/admission/shares.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Hashable, Mapping
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 import msgspec
 
@@ -43,104 +43,94 @@
     is used that is not there; each gets at least an even part of every resource, or what it needs; nobody would rather
     have another's part, or gets more by asking for more; what is left over nobody could use.
     """
-    if not needs:
-        return {}
-    height = {key: dominant(need.amounts, capacity) for key, need in needs.items()}
-    most = {key: max(0.0, min(1.0, need.most)) for key, need in needs.items()}
-    # A group that needs what there is none of gets nothing, and holds nobody up.
-    for key, need in needs.items():
-        if any(each > TINY and there <= 0 for each, there in zip(need.amounts, capacity, strict=True)):
-            most[key] = 0.0
-    base = {key: min(most[key], max(0.0, need.guaranteed)) for key, need in needs.items()}
-    over = max((used / there for used, there in zip(_used(needs, base), capacity, strict=True) if there > 0), default=0)
-    if over > 1:
-        base = {key: part / over for key, part in base.items()}
-        return base
-    parts = dict(base)
-    rising = {key for key in needs if most[key] > base[key] + TINY and height[key] > TINY}
-    parts.update({key: most[key] for key in needs if height[key] <= TINY})
-    level = 0.0
-    while rising:
-        high = _rise(needs, parts, rising, height, base, most, capacity, level)
-        parts = _raised(needs, parts, rising, height, base, most, high)
-        level = high
-        used = _used(needs, parts)
-        full = {index for index, there in enumerate(capacity) if there > 0 and used[index] >= there * (1 - 1e-6)}
-        still = {
+    return _Filling(needs, capacity).fill() if needs else {}
+
+
+class _Filling(Generic[K]):
+    """Progressive filling: the level is the dominant share, over the weight, of all that still rise."""
+
+    def __init__(self, needs: Mapping[K, Need], capacity: Amounts) -> None:
+        self.needs = needs
+        self.capacity = capacity
+        self.height = {key: dominant(need.amounts, capacity) for key, need in needs.items()}
+        self.most = {key: max(0.0, min(1.0, need.most)) for key, need in needs.items()}
+        # A group that needs what there is none of gets nothing, and holds nobody up.
+        for key, need in needs.items():
+            if any(each > TINY and there <= 0 for each, there in zip(need.amounts, capacity, strict=True)):
+                self.most[key] = 0.0
+        self.base = {key: min(self.most[key], max(0.0, need.guaranteed)) for key, need in needs.items()}
+        self.parts = dict(self.base)
+        self.rising: set[K] = set()
+
+    def fill(self) -> dict[K, float]:
+        used = zip(self._used(), self.capacity, strict=True)
+        over = max((now / there for now, there in used if there > 0), default=0.0)
+        if over > 1:
+            return {key: part / over for key, part in self.base.items()}
+        for key in self.needs:
+            if self.height[key] <= TINY:
+                self.parts[key] = self.most[key]
+            elif self.most[key] > self.base[key] + TINY:
+                self.rising.add(key)
+        level = 0.0
+        while self.rising:
+            level = self._rise(level)
+            for key in self.rising:
+                part = level * self.needs[key].weight / self.height[key]
+                self.parts[key] = min(self.most[key], max(self.base[key], part))
+            still = self._still_rising()
+            if still == self.rising:
+                break
+            self.rising = still
+        return self.parts
+
+    def _still_rising(self) -> set[K]:
+        """Those that have not enough yet, and need nothing that is used up."""
+        full = [now >= there * (1 - 1e-6) for now, there in zip(self._used(), self.capacity, strict=True)]
+        full = [each and there > 0 for each, there in zip(full, self.capacity, strict=True)]
+        return {
             key
-            for key in rising
-            if parts[key] < most[key] - TINY and not any(needs[key].amounts[index] > TINY for index in full)
+            for key in self.rising
+            if self.parts[key] < self.most[key] - TINY
+            and not any(each > TINY and out for each, out in zip(self.needs[key].amounts, full, strict=True))
         }
-        if still == rising:
-            break
-        rising = still
-    return parts
-
-
-def _raised(
-    needs: Mapping[K, Need],
-    parts: Mapping[K, float],
-    rising: set[K],
-    height: Mapping[K, float],
-    base: Mapping[K, float],
-    most: Mapping[K, float],
-    level: float,
-) -> dict[K, float]:
-    """The parts with the rising groups' dominant shares, over their weights, at a level."""
-    raised = dict(parts)
-    for key in rising:
-        raised[key] = min(most[key], max(base[key], level * needs[key].weight / height[key]))
-    return raised
-
-
-def _rise(
-    needs: Mapping[K, Need],
-    parts: Mapping[K, float],
-    rising: set[K],
-    height: Mapping[K, float],
-    base: Mapping[K, float],
-    most: Mapping[K, float],
-    capacity: Amounts,
-    level: float,
-) -> float:
-    """How far the level can rise before a resource is used up, or nobody rises any more.
-
-    What is used grows in straight pieces: each group begins where its guarantee ends and stops where it has enough.
-    """
-    turns: list[tuple[float, int, K]] = []
-    for order, key in enumerate(sorted(rising, key=repr)):
-        scale = height[key] / needs[key].weight
-        turns.append((max(level, base[key] * scale), 2 * order + 1, key))
-        turns.append((max(level, most[key] * scale), 2 * order + 2, key))
-    turns.sort(key=lambda turn: turn[:2])
-    used = list(_used(needs, parts))
-    slope = [0.0] * len(capacity)
-    growing: set[K] = set()
-    for at, _, key in turns:
-        if at > level:
-            to_full = min(
-                (
-                    (there - now) / rate
-                    for there, now, rate in zip(capacity, used, slope, strict=True)
-                    if there > 0 and rate > TINY * there
-                ),
-                default=at - level,
-            )
-            if to_full < at - level:
-                return level + max(0.0, to_full)
-            used = [now + rate * (at - level) for now, rate in zip(used, slope, strict=True)]
-            level = at
-        step = needs[key].weight / height[key] * (-1.0 if key in growing else 1.0)
-        growing ^= {key}
-        slope = [rate + step * each for rate, each in zip(slope, needs[key].amounts, strict=True)]
-    return level
-
-
-def _used(needs: Mapping[K, Need], parts: Mapping[K, float]) -> Amounts:
-    used: list[float] = []
-    for key, need in needs.items():
-        if not used:
-            used = [0.0] * len(need.amounts)
-        for index, each in enumerate(need.amounts):
-            used[index] += each * parts[key]
-    return tuple(used)
+
+    def _rise(self, level: float) -> float:
+        """How far the level can rise before a resource is used up, or nobody rises any more.
+
+        What is used grows in straight pieces: each group begins where its guarantee ends and stops where it has enough.
+        """
+        turns: list[tuple[float, int, K]] = []
+        for order, key in enumerate(sorted(self.rising, key=repr)):
+            scale = self.height[key] / self.needs[key].weight
+            turns.append((max(level, self.base[key] * scale), 2 * order, key))
+            turns.append((max(level, self.most[key] * scale), 2 * order + 1, key))
+        turns.sort(key=lambda turn: turn[:2])
+        used = self._used()
+        slope = [0.0] * len(self.capacity)
+        growing: set[K] = set()
+        for at, _, key in turns:
+            if at > level:
+                to_full = min(
+                    (
+                        (there - now) / rate
+                        for there, now, rate in zip(self.capacity, used, slope, strict=True)
+                        if there > 0 and rate > TINY * there
+                    ),
+                    default=at - level,
+                )
+                if to_full < at - level:
+                    return level + max(0.0, to_full)
+                used = [now + rate * (at - level) for now, rate in zip(used, slope, strict=True)]
+                level = at
+            step = self.needs[key].weight / self.height[key] * (-1.0 if key in growing else 1.0)
+            growing ^= {key}
+            slope = [rate + step * each for rate, each in zip(slope, self.needs[key].amounts, strict=True)]
+        return level
+
+    def _used(self) -> list[float]:
+        used = [0.0] * len(self.capacity)
+        for key, need in self.needs.items():
+            for index, each in enumerate(need.amounts):
+                used[index] += each * self.parts[key]
+        return used
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -21,7 +21,6 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 from gladecroft.coordination.placers import MOVED, Placers
-from gladecroft.coordination.placers.lineup import Round, Row
 from gladecroft.policies.seam import Demand
 from gladecroft.protocol.wire import Kind
 
@@ -91,8 +90,8 @@
                 continue
             if tiers is not None:
                 tiers.plan(row.group, job.queued_count * job.spec.cpus)
-            if not plan.fill(job, job.rank <= placers.line or placers.lineup.pressing(job)):
-                self._pass_over(round_, row, job)
+            if not plan.fill(job, job.rank <= placers.line or row.pressing) and round_.lacks(row, job):
+                round_.skip(row)
         if self.node.panel is not None:
             for demand in self.node.panel.demand():
                 if self._is_time_for(demand):
@@ -104,14 +103,6 @@
         for name in [name for name in self._idle_since if name not in self.picture.machines]:
             del self._idle_since[name]
 
-    @staticmethod
-    def _pass_over(round_: Round, row: Row, job: Job) -> None:
-        """Nothing up or to be had holds all of a job: the same goes for equal and bigger ones of its row."""
-        round_.lacks(row, job)
-        spec, small = job.spec, round_.smallest(row).spec
-        if small.cpus >= spec.cpus and small.gpus >= spec.gpus and small.memory_gb >= spec.memory_gb:
-            round_.skip(row)
-
     def capacity(self) -> Amounts:
         """Cores, cards and GB of the machines that are up or coming."""
         total = [0.0, 0.0, 0.0]
--- a/src/gladecroft/coordination/placers/lineup.py
+++ b/src/gladecroft/coordination/placers/lineup.py
@@ -49,7 +49,6 @@
     row: Row
     place: Place
     size: Size
-    pressing: bool
     #: When its place may change with the time, by the time of day in seconds.
     due: float
 
@@ -74,11 +73,6 @@
     def rows(self) -> int:
         return len(self._rows)
 
-    def pressing(self, job: Job) -> bool:
-        """Whether the job comes first, and may evict, for its team's guarantee, as of the last ``refresh``."""
-        entry = self._entries.get(job.id)
-        return entry is not None and entry.pressing
-
     def refresh(self, now: float) -> None:
         """Put the jobs in their places that have changed, or whose time has come. ``now``: the time of day."""
         picture = self.picture
@@ -119,7 +113,7 @@
             row = self._rows[key] = Row(key, job, pressing)
         spec = job.spec
         size = (spec.cpus, spec.gpus, spec.memory_gb, name)
-        self._entries[name] = Entry(row, place, size, pressing, due)
+        self._entries[name] = Entry(row, place, size, due)
         row.places.add(place)
         row.sizes.add(size)
         if due < float("inf"):
@@ -219,7 +213,10 @@
     def skip(self, row: Row) -> None:
         self._closed.add(id(row))
 
-    def lacks(self, row: Row, job: Job) -> None:
-        """A job of the row has found no room; equal and bigger ones of the row are passed over in this round."""
+    def lacks(self, row: Row, job: Job) -> bool:
+        """A job of the row has found no room; equal and bigger ones of the row are passed over in this round. Whether
+        that goes for the whole row."""
         spec = job.spec
-        self._lacking.setdefault(id(row), []).append((spec.cpus, spec.gpus, spec.memory_gb, job.id))
+        lacking = self._lacking.setdefault(id(row), [])
+        lacking.append((spec.cpus, spec.gpus, spec.memory_gb, job.id))
+        return self._too_big(self.smallest(row), lacking)
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -20,6 +20,7 @@
 from gladecroft.coordination.placers.lineup import Lineup, Round, Row
 from gladecroft.coordination.placers.placement import TINY, HighPlacer, LowSide, Need, Offer, Ranking, Resident, Slot
 from gladecroft.coordination.placers.queue import Queue
+from gladecroft.coordination.placers.shortage import Shortage
 from gladecroft.coordination.placers.stops import Stops
 from gladecroft.coordination.placers.writer import Writer
 from gladecroft.protocol.wire import PRIORITY_RANK, JobSpec, Kind, MachineType
@@ -59,12 +60,7 @@
         self.agreed: Callable[[], Tiers | None] | None = None
         self.gangs = Gangs(node, ledger, self.floor, self.chooser, self.stops, self.writer, self.wait)
         self._retry: dict[tuple[str, int, int], timedelta] = {}
-        #: Needs for which this round has found no room, by what kind of room it looked for.
-        self._no_room: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
-        #: What a policy refused when no room was found.
-        self._no_room_why: dict[tuple[object, ...], str] = {}
-        #: Machines on which something comes up or is held by work outside its guarantee, by what kind of room it is.
-        self._pushable: dict[tuple[object, ...], list[Slot]] = {}
+        self.shortage = Shortage(self.floor, self.line)
         #: Cores on machines with high-priority work that low-priority work may still take in this round.
         self._spare = 0.0
         ledger.composers.append(self.stops.drain)
@@ -108,9 +104,7 @@
         self.lineup.refresh(node.wall.timestamp())
         self.ledger.waiting = len(self.lineup)
         self.floor.refresh(self.picture.guaranteed())
-        self._no_room.clear()
-        self._no_room_why.clear()
-        self._pushable.clear()
+        self.shortage.clear()
         self._spare = self.spare_cpus()
         most = MOST_PER_ROUND
         self._tiers, round_ = self.begin()
@@ -128,7 +122,7 @@
             if most <= 0 or not change.room(1, 0):
                 break
             if self._short == NO_ROOM and self._tiers is not None and self._tiers.of(row.group, row.pressing) == FIRST:
-                self._set_aside(job)
+                self.shortage.set_aside(job, self.picture.waiting.smallest())
             if self._short:
                 self._give_up(round_, row, job, change)
 
@@ -149,41 +143,12 @@
     def _give_up(self, round_: Round, row: Row, job: Job, change: Change) -> None:
         """A job could not be placed whole: close its row if that goes for the smallest in it too."""
         why = self._short
-        smallest = round_.smallest(row)
-        if why == NO_MACHINE:
-            round_.close(row, why)
-        elif why == LIMIT:
-            if change.team_room(smallest) <= 0:
-                round_.close(row, why)
+        if why == LIMIT:
+            whole = change.team_room(round_.smallest(row)) <= 0
         else:
-            round_.lacks(row, job)
-            spec, small = job.spec, smallest.spec
-            if small.cpus >= spec.cpus and small.gpus >= spec.gpus and small.memory_gb >= spec.memory_gb:
-                round_.close(row, why)
-
-    def _set_aside(self, job: Job) -> None:
-        """Keep the emptiest machine that could hold a task of a job that comes first and fits nowhere.
-
-        Else small tasks would take each bit of room that comes up, and one as big as a machine would never start. What
-        nobody takes from grows emptier with each round, so it stays the same machine; all homes set the same one aside.
-        """
-        need = need_of(job, False, "")
-        if need.cpus <= self.picture.waiting.smallest():
-            return  # nobody smaller could take the room from under it
-        best: Slot | None = None
-        for slot in self.floor.usable(job):
-            if (
-                slot.cpus + TINY >= need.cpus
-                and slot.gpus + TINY >= need.gpus
-                and slot.memory_gb + TINY >= need.memory_gb
-            ):
-                key = (slot.free_cpus + slot.coming_cpus, slot.machine)
-                if best is None or key > (best.free_cpus + best.coming_cpus, best.machine):
-                    best = slot
-        if best is not None:
-            self.floor.plan_on(best)
-            best.free_cpus = best.free_gpus = best.free_memory = 0.0
-            best.coming_cpus = best.coming_gpus = best.coming_memory = 0.0
+            whole = why == NO_MACHINE or round_.lacks(row, job)
+        if whole:
+            round_.close(row, why)
 
     def held(self, job: Job) -> bool:
         """Whether a policy says that the job's tasks may not start yet."""
@@ -212,35 +177,6 @@
                 held += slot.high_cpus
         return free - self.node.operator.machine_reserve * held
 
-    def _lacks_room(self, key: tuple[object, ...], need: Need) -> bool:
-        """Whether no room was found for a need in this round that is no bigger. Room only dwindles in a round."""
-        return any(
-            need.cpus >= cpus and need.gpus >= gpus and need.memory_gb >= memory
-            for cpus, gpus, memory in self._no_room.get(key, ())
-        )
-
-    def _to_push(
-        self, where: tuple[object, ...], push: tuple[object, ...], job: Job, need: Need, closed: list[str]
-    ) -> list[Slot]:
-        """The machines on which room for a need comes up or may be made. In a flood most needs find none, one team
-        after the other: so the machines that come into question are picked out once a round."""
-        if need.rank > self.line and not need.guaranteed:
-            return []
-        known = self._pushable.get(where)
-        if known is None:
-            known = self._pushable[where] = [
-                slot for slot in self.floor.usable(job, closed) if slot.coming_cpus > 0 or slot.borrowed_cpus > 0
-            ]
-        slots = [
-            slot
-            for slot in known
-            if need.cpus <= slot.free_cpus + slot.coming_cpus + slot.borrowed_cpus + TINY
-            and (slot.coming_cpus > 0 or not need.gentle and (need.guaranteed or slot.weakest > need.rank))
-        ]
-        if not slots:
-            self._no_room.setdefault(push, []).append((need.cpus, need.gpus, need.memory_gb))
-        return slots
-
     def _place_job(self, change: Change, job: Job, inside: bool, home: str, most: int) -> int:
         """Place one job's waiting tasks as far as they go, or only set the room aside if it is another home's job."""
         spec = job.spec
@@ -272,15 +208,14 @@
         ranking: Ranking | None = None
         usable: list[Slot] = []
         # Where nothing is free only what comes up or may be pushed away is looked at.
-        nothing_free = room > 0 and not spec.one_zone and self._lacks_room(where, need)
+        nothing_free = room > 0 and not spec.one_zone and self.shortage.of(where, need)
         if nothing_free:
-            usable = [] if self._lacks_room(push, need) else self._to_push(where, push, job, need, closed)
+            usable = self.shortage.to_push(where, push, job, need, closed)
             ranking = Ranking(need, (), self.chooser.high.rank if high else self.chooser.low.rank)
         if nothing_free and not usable:
             room = 0
             why = self._short = NO_ROOM
-            if where in self._no_room_why:
-                self.floor.refusals.setdefault(job.id, self._no_room_why[where])
+            self.shortage.tell_why(where, job)
         for number in job.queued_tasks():
             if taken >= room:
                 if not why and room < most:
@@ -302,10 +237,9 @@
             offer = self.chooser.choose(need, ranking, usable, before)
             if offer is None:
                 if usable and not spec.one_zone and not (spec.spread and taken):
-                    for key in (where, push):
-                        self._no_room.setdefault(key, []).append((need.cpus, need.gpus, need.memory_gb))
-                    if job.id in self.floor.refusals:
-                        self._no_room_why[where] = self.floor.refusals[job.id]
+                    self.shortage.note(where, need)
+                    self.shortage.note(push, need)
+                    self.shortage.note_why(where, job)
                 why = NO_ROOM if usable else NO_MACHINE
                 if not spec.spread or not zones:
                     self._short = why
