--- a/src/gladecroft/coordination/placers/shortage.py
+++ b/src/gladecroft/coordination/placers/shortage.py
@@ -71,9 +71,9 @@
     def set_aside(self, job: Job, smallest: float) -> None:
         """Keep the emptiest machine that could hold a task of a job that comes first and fits nowhere.
 
-        Else smaller tasks (``smallest``: cores of the smallest that waits) would take each bit of room that comes up, and
-        one as big as a machine would never start. What nobody takes from grows emptier with each round, so it stays the
-        same machine; all homes set the same one aside.
+        Else smaller tasks (``smallest``: cores of the smallest that waits) would take each bit of room that comes up,
+        and one as big as a machine would never start. What nobody takes from grows emptier with each round, so it stays
+        the same machine; all homes set the same one aside.
         """
         need = need_of(job, False, "")
         if need.cpus <= smallest:
