--- a/src/gladecroft/coordination/admission/admission.py
+++ b/src/gladecroft/coordination/admission/admission.py
@@ -15,10 +15,9 @@
 from gladecroft.coordination.admission.needs import Held, Share, fair_shares, is_short, starving
 from gladecroft.coordination.admission.shares import Amounts
 from gladecroft.coordination.admission.tiers import Tiers
-from gladecroft.coordination.ledger import Ledger, PolicyPut
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
-from gladecroft.protocol import operators
+from gladecroft.protocol import operators, wire
 from gladecroft.protocol.wire import JobSpec
 
 log = logging.getLogger(__name__)
@@ -51,7 +50,6 @@
         self,
         node: Node,
         membership: Membership,
-        ledger: Ledger,
         capacity: Callable[[], Amounts],
         patience: Callable[[str], float],
         most_jobs: int,
@@ -59,7 +57,6 @@
         self.node = node
         self.picture = node.picture
         self.membership = membership
-        self.ledger = ledger
         self._capacity = capacity
         self._patience = patience
         self._most_jobs = most_jobs
@@ -70,6 +67,11 @@
         self._short_at = timedelta(days=-1)
         #: Since when each group has been below its floor.
         self._since: dict[Group, timedelta] = {}
+        self._led = False
+        #: What is to be written next, whether it is still to be sent, and whether it is on its way.
+        self._next: bytes | None = None
+        self._unsent = self._busy = False
+        self._send_at = timedelta()
         #: Once some have starved all go by their floors until there is enough for all again: also who comes later.
         self._pressed = False
 
@@ -86,14 +88,23 @@
         return None if record is None else Tiers(record, self.picture.waiting.groups)
 
     def epoch_changed(self) -> None:
-        """Another may lead now; who has just come to lead goes on with what is agreed."""
-        self._since.clear()
-        self._pressed = self.record() is not None
-        self._note_flow()
+        """Who has just come to lead goes on with what is agreed."""
+        epoch = self.picture.epoch
+        leads = epoch is not None and epoch.leader == self.node.name
+        if not (leads and self._led):
+            self._since.clear()
+            self._pressed = self.record() is not None
+            self._unsent = False
+            self._note_flow()
+        self._led = leads
 
     def tick(self) -> None:
         node = self.node
-        if node.now - self._looked_at < LOOK_EVERY or not self.membership.leads():
+        if not self.membership.leads():
+            return
+        if self._unsent and node.now >= self._send_at:
+            self._send()
+        if node.now - self._looked_at < LOOK_EVERY:
             return
         self._looked_at = node.now
         if not self.picture.queued and self.picture.admission is None:
@@ -207,19 +218,45 @@
         return operators.AdmissionShown(record.level, record.generation, record.since_s, record.until_s, groups)
 
     def _put(self, record: rec.AdmissionRecord | None) -> None:
-        """Last in line for the changes: what is agreed before counts for some time if there are none to be had."""
+        """Write what is next. What is agreed before counts for some time, should there be no change to be had."""
         self._written_at = self.node.now
         self._note_flow()
-        value = None if record is None else msgspec.json.encode(record)
+        self._next = None if record is None else msgspec.json.encode(record)
+        self._unsent = True
+        self._send()
+
+    def _send(self) -> None:
+        """Commit what is next by itself: one change in five seconds. In a flood a leader that is no team's home may not
+        come to a transaction of its ledger for minutes, since submissions take its changes one by one.
+
+        It rests on the epoch and on the record that it follows. One whose outcome is not known can do no harm: if it
+        was executed the watch tells, if it comes later its condition fails.
+        """
+        node, value = self.node, self._next
+        conditions = [wire.Condition(key, self.picture.version(key)) for key in (rec.EPOCH, rec.ADMISSION)]
+        op = wire.Delete(rec.ADMISSION) if value is None else wire.Put(rec.ADMISSION, msgspec.Raw(value))
 
-        def done() -> None:
-            if record is None:
-                log.info("admission: there is enough for all again")
-            else:
-                first = [f"{each.team}/{each.job_class} {each.floor:.0f} of {each.share:.0f}" for each in record.groups]
-                log.info("admission: generation %d, %s: %s", record.generation, record.level, "; ".join(first[:6]))
+        def then(status: int, body: bytes) -> None:
+            self._busy = False
+            node.spend("admission" if status == 200 else f"refused ({status})")
+            if status == 200:
+                self.picture.apply(rec.ADMISSION, value, wire.decode(wire.TxnReply, body).revision)
+                self._tell()
+            elif status in (-1, 429, 503):
+                # Certainly not executed. At once it would be refused again.
+                self._unsent, self._send_at = True, node.now + LOOK_EVERY
 
-        self.ledger.policy_puts[rec.ADMISSION] = PolicyPut(value, self.node.now, done)
+        body = wire.encode(wire.Txn(conditions, [op]))
+        if not self._busy and node.state("POST", wire.COMMIT_PATH, body, then, writes=1):
+            self._busy, self._unsent = True, False
+
+    def _tell(self) -> None:
+        record = self.picture.admission
+        if record is None:
+            log.info("admission: there is enough for all again")
+            return
+        first = [f"{each.team}/{each.job_class} {each.floor:.0f} of {each.share:.0f}" for each in record.groups]
+        log.info("admission: generation %d, %s: %s", record.generation, record.level, "; ".join(first[:6]))
 
 
 def _alike(before: list[rec.GroupShare], now: list[rec.GroupShare]) -> bool:
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -38,9 +38,7 @@
         if operator.admission:
             patience = self.placers.queue.patience
             most_jobs = int(JOBS_PER_MB * self.node.cluster.limits.memory_mb)
-            self.admission = Admission(
-                self.node, self.membership, self.ledger, self.fleet.capacity, patience, most_jobs
-            )
+            self.admission = Admission(self.node, self.membership, self.fleet.capacity, patience, most_jobs)
             self.placers.agreed = self.admission.tiers
         self.users = Users(self.node, self.membership, self.placers.fits)
         self.users.desk.reason = self.placers.reason
