--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 import msgspec
+import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -25,6 +27,7 @@
 from gladecroft.protocol import wire
 from gladecroft.protocol.settings import Operator, Team
 from gladecroft.protocol.wire import Kind
+from gladecroft.toolbox.admission import admission as command
 from test_epochs import clock
 from test_fencing import SPEC, Rig
 from test_protocol import JOB
@@ -523,3 +526,19 @@
     users.desk.open.pop(999_999, None)
     replies = [effect for effect in node.take_effects() if isinstance(effect, Reply) and effect.number == 999_999]
     return any(reply.status == 429 and reply.retry_after for reply in replies)
+
+
+def test_the_command_prints_the_same_plain_and_in_machine_form(monkeypatch: pytest.MonkeyPatch) -> None:
+    rig, admission = admission_rig()
+    now = int(rig.core.node.wall.timestamp())
+    share = rec.GroupShare("t", "x", 8.0, 16.0, 0.0, 0.5, 0.01)
+    rig.put(rec.ADMISSION, rec.AdmissionRecord(3, "shedding", now, now + 30, [share]))
+    answer = msgspec.json.encode(admission.show())
+    monkeypatch.setattr("gladecroft.toolbox.admission.ask", lambda nodes, method, path, body, wait: answer)
+    plain = CliRunner().invoke(command, ["show", "--node", "127.0.0.1:1"])
+    assert plain.exit_code == 0 and "shedding: floors and shares count" in plain.output
+    assert "generation 3, since 2026-01-01" in plain.output
+    row = next(line for line in plain.output.splitlines() if line.startswith("t  ") and " x " in line)
+    assert row.split() == ["t", "x", "1", "0", "800", "8", "16", "60%"]
+    machine = CliRunner().invoke(command, ["show", "--node", "127.0.0.1:1", "--json"])
+    assert msgspec.json.decode(machine.output) == msgspec.json.decode(answer)
