Guarantees that are more than there is leave each class its floor

Change: where guarantees exceed what there is, work within the guarantee of a team that has more than that goes by its class's share: last above it, and sparing others at or below theirs. A team whose work all fits its guarantee keeps every privilege.

--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -157,7 +157,9 @@
 
 class AdmissionRecord(msgspec.Struct, gc=False, frozen=True, omit_defaults=True):
     """What the leader has decided for all in an overload. It counts until ``until_s`` by the time of day, so that one
-    that nobody renews ends by itself. ``salt`` keys the order of job ids: users choose these."""
+    that nobody renews ends by itself. ``salt`` keys the order of job ids: users choose these. ``scarce``: the teams'
+    guarantees alone are more than there is.
+    """
 
     generation: int
     level: str
@@ -165,6 +167,7 @@
     until_s: int
     groups: list[GroupShare] = []
     salt: str = ""
+    scarce: bool = False
 
 
 def chunk_size(value_kb: float) -> int:
--- a/src/gladecroft/coordination/admission/admission.py
+++ b/src/gladecroft/coordination/admission/admission.py
@@ -12,7 +12,7 @@
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.waiting import Group
 from gladecroft.coordination.admission.answers import TRIES_FOR, Flow, next_gate, parts_of_all, wait_of
-from gladecroft.coordination.admission.needs import Held, Share, fair_shares, is_short, starving
+from gladecroft.coordination.admission.needs import Held, Share, fair_shares, guarantees_exceed, is_short, starving
 from gladecroft.coordination.admission.shares import Amounts
 from gladecroft.coordination.admission.tiers import Tiers
 from gladecroft.coordination.membership import Membership
@@ -85,7 +85,7 @@
     def tiers(self) -> Tiers | None:
         """What the agreement makes of one round; None: nothing."""
         record = self.record()
-        return None if record is None else Tiers(record, self.picture.waiting.groups)
+        return None if record is None else Tiers(record, self.picture.waiting.groups, self.picture.crowded)
 
     def epoch_changed(self) -> None:
         """Who has just come to lead goes on with what is agreed."""
@@ -158,6 +158,7 @@
             wall + int(COUNTS_FOR.total_seconds()),
             _fitting(groups, self.picture.value_bytes - HEAD),
             secrets.token_hex(8) if before is None else before.salt,
+            guarantees_exceed(held, self.picture.limits, self._capacity()),
         )
         self._put(record)
 
--- a/src/gladecroft/coordination/admission/needs.py
+++ b/src/gladecroft/coordination/admission/needs.py
@@ -142,3 +142,12 @@
 def is_short(held: Mapping[Group, Held], capacity: Amounts) -> bool:
     """Whether all that is wanted is more than there is of some resource."""
     return dominant(_sum_all([each.wanted for each in held.values()]), capacity) > 1 if held else False
+
+
+def guarantees_exceed(held: Mapping[Group, Held], teams: Mapping[str, Team], capacity: Amounts) -> bool:
+    """Whether what teams want within their guarantees is more cores than there are."""
+    wanted: dict[str, float] = {}
+    for group, each in held.items():
+        wanted[group[0]] = wanted.get(group[0], 0.0) + each.wanted[0]
+    by_right = sum(min(cpus, teams[team].cpus) for team, cpus in wanted.items() if team in teams)
+    return by_right > capacity[0] + 1e-6
--- a/src/gladecroft/coordination/admission/tiers.py
+++ b/src/gladecroft/coordination/admission/tiers.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 
 from gladecroft.bookkeeping.records import AdmissionRecord, GroupShare
 from gladecroft.bookkeeping.waiting import Group, GroupUse
@@ -14,7 +14,9 @@
 class Tiers:
     """For one round: what is planned in it counts as had. All homes plan by the same record and the same attempts."""
 
-    def __init__(self, record: AdmissionRecord, groups: Mapping[Group, GroupUse]) -> None:
+    def __init__(self, record: AdmissionRecord, groups: Mapping[Group, GroupUse], crowded: Container[str] = ()) -> None:
+        self._scarce = record.scarce
+        self._crowded = crowded
         self._shares: dict[Group, GroupShare] = {(each.team, each.job_class): each for each in record.groups}
         self._groups = groups
         self._planned: dict[Group, float] = {}
@@ -24,8 +26,16 @@
         self._at_share = frozenset(group for group in groups if not self._above(group, share=True))
         self._at_floor = frozenset(group for group in groups if not self._above(group, share=False))
 
+    def firm(self, group: Group, pressing: bool) -> bool:
+        """Whether work within its team's guarantee has all its privileges.
+
+        Where the guarantees alone are more than there is somebody must wait: a team that has more work than its guarantee
+        then goes by its classes' shares, else those of its jobs that stand highest would have all of it.
+        """
+        return pressing and not (self._scarce and group[0] in self._crowded)
+
     def of(self, group: Group, pressing: bool) -> int:
-        """``pressing``: work within its team's guarantee is never last."""
+        """``pressing``: the work is within its team's guarantee. If that is firm it is never last."""
         share = self._shares.get(group)
         if share is None:
             return USUAL
@@ -33,7 +43,7 @@
         has = (0.0 if use is None else use.used[0]) + self._planned.get(group, 0.0)
         if has < share.floor:
             return FIRST
-        return LAST if has >= share.share and not pressing else USUAL
+        return LAST if has >= share.share and not self.firm(group, pressing) else USUAL
 
     def _above(self, group: Group, share: bool) -> bool:
         agreed = self._shares.get(group)
@@ -41,8 +51,10 @@
             return False
         return self._groups[group].used[0] > (agreed.share if share else agreed.floor) + 1e-6
 
-    def spared(self, tier: int) -> frozenset[Group]:
-        """Whose work is not evicted from a tier, but for a guarantee."""
+    def spared(self, group: Group, pressing: bool, tier: int) -> frozenset[Group]:
+        """Whose work a group in this tier does not evict."""
+        if self.firm(group, pressing):
+            return frozenset()
         return self._at_floor if tier == FIRST else self._at_share
 
     def plan(self, group: Group, cpus: float) -> None:
--- a/src/gladecroft/coordination/placers/placement.py
+++ b/src/gladecroft/coordination/placers/placement.py
@@ -29,8 +29,7 @@
     home: str = ""
     #: Has more than its fair share in an overload: it takes what is free, and pushes nobody away.
     gentle: bool = False
-    #: Teams' classes that have no more than their floor or share in an overload: their work is pushed away only for a
-    #: guarantee.
+    #: Teams' classes that have no more than their floor or share in an overload: their work is not pushed away.
     spared: Container[tuple[str, str]] = ()
 
 
@@ -156,7 +155,7 @@
     """PROTOCOL's preemption rules; work within its team's guarantee is never evicted."""
     if victim.guaranteed or victim.stopping or need.gentle:
         return False
-    if need.spared and not need.guaranteed and (victim.team, victim.job_class) in need.spared:
+    if need.spared and (victim.team, victim.job_class) in need.spared:
         return False
     return need.rank < victim.rank or (need.guaranteed and victim.team != need.team)
 
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -188,8 +188,10 @@
         if spec.one_zone and cap < spec.tasks:
             room, why = 0, "some of its machines are not known yet"
         tiers = self._tiers
-        tier = USUAL if tiers is None else tiers.of((spec.team, spec.job_class), inside)
-        need = need_of(job, inside, home, tier == LAST, () if tiers is None else tiers.spared(tier))
+        group = (spec.team, spec.job_class)
+        tier = USUAL if tiers is None else tiers.of(group, inside)
+        spared = () if tiers is None else tiers.spared(group, inside, tier)
+        need = need_of(job, inside, home, tier == LAST, spared)
         high = need.rank <= self.floor.line
         kept_out = not high and not inside and self._spare < need.cpus
         taken = evicted = 0
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,7 +17,7 @@
 from gladecroft.coordination.admission import Admission
 from gladecroft.coordination.admission.admission import _fitting
 from gladecroft.coordination.admission.answers import Flow, next_gate, parts_of_all, wait_of
-from gladecroft.coordination.admission.needs import Held, fair_shares
+from gladecroft.coordination.admission.needs import Held, fair_shares, guarantees_exceed
 from gladecroft.coordination.admission.shares import Amounts, Need, dominant, fair_parts
 from gladecroft.coordination.admission.tiers import FIRST, LAST, USUAL, Tiers
 from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Verb, Watched, by_urgency
@@ -542,3 +542,20 @@
     assert row.split() == ["t", "x", "1", "0", "800", "8", "16", "60%"]
     machine = CliRunner().invoke(command, ["show", "--node", "127.0.0.1:1", "--json"])
     assert msgspec.json.decode(machine.output) == msgspec.json.decode(answer)
+
+
+def test_guarantees_that_are_more_than_there_is_leave_each_class_its_floor() -> None:
+    group, other = ("t", "x"), ("t", "y")
+    groups = {group: GroupUse(), other: GroupUse()}
+    groups[group].used[0], groups[other].used[0] = 9.0, 1.0
+    shares = [rec.GroupShare(*group, 4.0, 8.0), rec.GroupShare(*other, 4.0, 8.0)]
+    for scarce, crowded, firm in ((False, {"t"}, True), (True, set(), True), (True, {"t"}, False)):
+        tiers = Tiers(rec.AdmissionRecord(1, "shaping", 0, 10, shares, "", scarce), groups, crowded)
+        assert tiers.firm(group, True) is firm and not tiers.firm(group, False)
+        tier = tiers.of(group, True)
+        assert tier == (USUAL if firm else LAST)
+        assert (other in tiers.spared(group, True, tier)) is not firm
+        assert tiers.of(other, True) == FIRST
+    held = {group: Held((9.0, 0.0, 0.0), (9.0, 0.0, 0.0)), other: Held((1.0, 0.0, 0.0), (0.0, 0.0, 0.0))}
+    assert guarantees_exceed(held, {"t": Team("t", 18.0, 0.0)}, (17.0, 0.0, 0.0))
+    assert not guarantees_exceed(held, {"t": Team("t", 18.0, 0.0)}, (18.0, 0.0, 0.0))
