--- a/src/gladecroft/coordination/admission/tiers.py
+++ b/src/gladecroft/coordination/admission/tiers.py
@@ -29,8 +29,8 @@
     def firm(self, group: Group, pressing: bool) -> bool:
         """Whether work within its team's guarantee has all its privileges.
 
-        Where the guarantees alone are more than there is somebody must wait: a team that has more work than its guarantee
-        then goes by its classes' shares, else those of its jobs that stand highest would have all of it.
+        Where the guarantees alone are more than there is somebody must wait: a team that has more work than its
+        guarantee then goes by its classes' shares, else those of its jobs that stand highest would have all of it.
         """
         return pressing and not (self._scarce and group[0] in self._crowded)
 
