Dead counters go, the capacity is worked out once a look

Need: read once more, the change kept a count of priorities, a count of sorted jobs and a property that nobody asked for, told the ages at which a turn changes twice, and worked out the capacity a second time for the record. Change: they go; the look hands the agreement what it knows. Nothing behaves differently.

--- a/src/gladecroft/bookkeeping/waiting.py
+++ b/src/gladecroft/bookkeeping/waiting.py
@@ -64,8 +64,6 @@
         #: Jobs that have come and gone since the records were listed.
         self.came: Counter[Group] = Counter()
         self.gone: Counter[Group] = Counter()
-        #: The priorities of waiting jobs, by how many there are.
-        self.ranks: Counter[int] = Counter()
         self._noted: dict[str, _Noted] = {}
 
     @property
@@ -109,7 +107,6 @@
             team.jobs += step
             team.urgent += step * (job.rank == 0)
             team.services += step * (spec.kind is Kind.SERVICE)
-            self.ranks[job.rank] += step
             if step > 0:
                 team.sizes.add(spec.cpus)
             else:
--- a/src/gladecroft/coordination/admission/admission.py
+++ b/src/gladecroft/coordination/admission/admission.py
@@ -134,9 +134,9 @@
                 self._pressed = True
         self._pressed |= many
         if self._pressed:
-            self._agree(held, shares)
+            self._agree(held, shares, guarantees_exceed(held, self.picture.limits, capacity))
 
-    def _agree(self, held: dict[Group, Held], shares: dict[Group, Share]) -> None:
+    def _agree(self, held: dict[Group, Held], shares: dict[Group, Share], scarce: bool) -> None:
         """Write who comes first and who last, if that differs from what is agreed."""
         # All are named: who has more than its share now may be below it in a second, and who is not named would go on
         # evicting those that are. Those that lack most stand first, should a value not hold all.
@@ -158,7 +158,7 @@
             wall + int(COUNTS_FOR.total_seconds()),
             _fitting(groups, self.picture.value_bytes - HEAD),
             secrets.token_hex(8) if before is None else before.salt,
-            guarantees_exceed(held, self.picture.limits, self._capacity()),
+            scarce,
         )
         self._put(record)
 
--- a/src/gladecroft/coordination/placers/lineup.py
+++ b/src/gladecroft/coordination/placers/lineup.py
@@ -59,8 +59,6 @@
         self.panel = panel
         self.queue = queue
         self.rounds = 0
-        #: How many jobs have been put in their places so far.
-        self.sorted = 0
         self._resets = -1
         self._rows: dict[tuple[Any, ...], Row] = {}
         self._entries: dict[str, Entry] = {}
@@ -69,10 +67,6 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    @property
-    def rows(self) -> int:
-        return len(self._rows)
-
     def refresh(self, now: float) -> None:
         """Put the jobs in their places that have changed, or whose time has come. ``now``: the time of day."""
         picture = self.picture
@@ -107,7 +101,6 @@
             if old.row.key == key and old.place == place and old.due == due:
                 return
             self._take_out(old)
-        self.sorted += 1
         row = self._rows.get(key)
         if row is None:
             row = self._rows[key] = Row(key, job, pressing)
--- a/src/gladecroft/coordination/placers/queue.py
+++ b/src/gladecroft/coordination/placers/queue.py
@@ -59,7 +59,7 @@
         work = spec.cpus * job.queued_count * max(1.0, spec.estimate_s)
         limits = self._limits(job)
         # The ages at which something changes; what holds at such an age itself is told a moment later.
-        steps = [*limits, STARVED * max(*limits, PATIENCE)] if limits else []
+        steps: list[float] = []
         turn = -1
         if self._has_started(job):
             # Its start is behind it; it can wait as long as its end is not in danger.
