--- a/src/gladecroft/lab/scenario.py
+++ b/src/gladecroft/lab/scenario.py
@@ -16,7 +16,7 @@
 from gladecroft.lab.state import StateService
 from gladecroft.lab.user import User
 from gladecroft.lab.worker import Kind, Worker
-from gladecroft.lab.world import START, Controller, World, seconds
+from gladecroft.lab.world import START, Controller, Replier, World, seconds
 from gladecroft.protocol import operators
 from gladecroft.protocol.settings import Operator, Platform
 
@@ -46,7 +46,8 @@
         "cloud-outage": "for", "late": "share lose for", "forget-log": "for", "never-boot": "share for",
         "cordon": "why for lift node", "ask": "times", "deaf": "for direct count", "mute": "for",
         "copies": "share late for", "island": "for",
-        "reboot": "for", "freeze": "for", "down": "for",
+        "reboot": "for", "freeze": "for", "down": "for", "late-writes": "share for", "slow-state": "by for",
+        "held": "by for answers",
     }.items()
 }  # fmt: skip
 #: Deeds that are no troubles.
@@ -250,7 +251,7 @@
         span = seconds(float(named.get("for", "0")))
         if verb not in HARMLESS:
             # Copies come late, and so may what is late or held up at the state service.
-            later = float(named.get("late", "0")) + (20.0 if verb == "late" else 0.0)
+            later = float(named.get("late", "0")) + {"late": 20.0, "late-writes": 12.0}.get(verb, 0.0)
             self.oracle.trouble(self.world.elapsed() + span.total_seconds() + later)
         if verb == "submit":
             for name in _names(plain[1], named):
@@ -339,6 +340,16 @@
         elif verb == "late":
             self.state.be_late(float(named["share"]), float(named.get("lose", "0")))
             self.world.later(span, lambda: self.state.be_late(0.0, 0.0))
+        elif verb == "late-writes":
+            self.state.late_writes = float(named["share"])
+            self.world.later(span, lambda: setattr(self.state, "late_writes", 0.0))
+        elif verb == "slow-state":
+            usual = self.state.delay
+            self.state.delay = seconds(float(named["by"]))
+            self.world.later(span, lambda: setattr(self.state, "delay", usual))
+        elif verb == "held":
+            for name in plain[1:]:
+                self._hold(self._worker(name), seconds(float(named["by"])), named.get("answers") == "yes", span)
         elif verb == "forget-log":
             self.state.kept = 0
             self.state.first = self.state.revision + 1
@@ -364,6 +375,19 @@
         for worker in self.cloud.machines.values():
             worker.copies = (share, late)
 
+    def _hold(self, worker: Worker, by: timedelta, answers: bool, span: timedelta) -> None:
+        """What is sent straight to its address, or the answer to it, comes so much later."""
+        serve = worker.direct
+
+        def held(node: str, method: str, path: str, body: bytes, reply: Replier) -> None:
+            if answers:
+                serve(node, method, path, body, lambda *got: self.world.later(by, lambda: reply(*got)))
+            else:
+                self.world.later(by, lambda: serve(node, method, path, body, reply))
+
+        worker.direct = held  # type: ignore[method-assign]
+        self.world.later(span, lambda: setattr(worker, "direct", serve))
+
     def _shut(self, worker: Worker, span: timedelta) -> None:
         """Only what is sent straight to its address does not reach it."""
         serve = worker.direct
--- a/src/gladecroft/lab/state.py
+++ b/src/gladecroft/lab/state.py
@@ -26,6 +26,10 @@
         self.watches: list[tuple[str, int, Replier]] = []
         self.lose_answers = 0.0
         self.late = 0.0
+        #: What part of the transactions that change something gets no answer and is carried out 2 to 12 s later, after
+        #: newer ones; and how long every answer takes.
+        self.late_writes = 0.0
+        self.delay = seconds(0.003)
         self.kept = 10_000
         self.first = 1
         self._rate = [rps, rps, 0.0]
@@ -86,8 +90,11 @@
             # The answer is lost and the request is executed later.
             self.world.later(seconds(random.uniform(0.5, 20)), lambda: self._do(method, path, body, lambda s, b: None))
             return
+        if self.late_writes and b'"apply"' in body and random.random() < self.late_writes:
+            self.world.later(seconds(random.uniform(2, 12)), lambda: self._do(method, path, body, lambda s, b: None))
+            return
         answer: Replier = (lambda s, b: None) if random.random() < self.lose_answers else reply
-        self.world.later(seconds(0.003), lambda: self._do(method, path, body, answer))
+        self.world.later(self.delay, lambda: self._do(method, path, body, answer))
 
     def _do(self, method: str, path: str, body: bytes, reply: Replier) -> None:
         url = urlsplit(path)
