--- a/src/gladecroft/coordination/consent.py
+++ b/src/gladecroft/coordination/consent.py
@@ -7,7 +7,11 @@
 
 Why this is safe is told in ``docs/safety.md``. In short: who acts under a newer epoch has learned of it before and from
 then on consents no more, so this controller stops within a member lease of that, as it would without consent. A right
-that has lapsed is never revived here. And what may not be known here, a cancellation, is outlasted by its time limit.
+that has lapsed is never revived here.
+
+Each consent brings along the cancellations that its sender knows and this controller does not: committed records, which
+count here as if the watch had brought them. So their tasks are stopped with the next answers, and only a cancellation
+that was told after the last such round can be unknown here; it is outlasted by its time limit.
 
 It owns what siblings have said. It never gives the right to commit, rent, return, move or command unasked.
 """
@@ -19,6 +23,7 @@
 
 import msgspec
 
+from gladecroft.bookkeeping import records as rec
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked
 from gladecroft.coordination.node import SLACK, Node
@@ -30,6 +35,8 @@
 ASKS_A_LEASE = 10
 #: The part of what a cancellation leaves after a machine's lease for which machines may be answered on old news.
 OLD_NEWS = 0.8
+#: What must be left then: a worker notices the end of its lease, and ends its tasks, a little late.
+LEFT_AT_LEAST = timedelta(seconds=1)
 LONG_AGO = timedelta(days=-1)
 
 
@@ -40,11 +47,18 @@
         self._siblings = [peer.name for peer in node.platform.peers]
         #: When the last request was sent to which a sibling has consented, under this epoch.
         self._given: dict[str, timedelta] = {}
+        #: The same for the last consent that told of all cancellations.
+        self._told_all: dict[str, timedelta] = {}
         self._asking: set[str] = set()
         self._asked_at = LONG_AGO
         self._until = LONG_AGO
         workers = node.cluster.workers
-        self._longest = timedelta(seconds=OLD_NEWS * (workers.cancel_s - workers.lease_s)) / SLACK
+        room = timedelta(seconds=workers.cancel_s - workers.lease_s)
+        self._longest = OLD_NEWS * room / SLACK
+        self._possible = (1 - OLD_NEWS) * room >= LEFT_AT_LEAST
+        if not self._possible and self._siblings:
+            log.info("cancel_s leaves %g s after lease_s: too little to answer machines by consent in an outage",
+                     room.total_seconds())  # fmt: skip
 
     def answers(self) -> bool:
         """Whether this controller may answer its machines: entitled to act, or with the consent of all siblings."""
@@ -58,6 +72,7 @@
     def epoch_changed(self) -> None:
         """What was said of an earlier epoch counts no more."""
         self._given.clear()
+        self._told_all.clear()
         self._until = LONG_AGO
 
     def tick(self) -> None:
@@ -66,12 +81,14 @@
         if not node.unserved():
             # Off while the state service answers: nothing is asked, and what was said before is not built on later.
             self._given.clear()
+            self._told_all.clear()
             if node.now >= self._until:
                 self._until = LONG_AGO
             return
         if epoch is None or not membership.member() or not self._siblings:
             return
-        self._extend()
+        if self._possible:
+            self._extend()
         if node.now - self._asked_at >= node.ttl / ASKS_A_LEASE:
             self._asked_at = node.now
             for name in self._siblings:
@@ -84,7 +101,9 @@
         if node.now >= right:
             return  # lapsed: somebody may have acted on it; only a good renewal brings the right back
         oldest = min(self._given.get(name, LONG_AGO) for name in self._siblings)
-        until = min(oldest + node.ttl / SLACK, self.membership.renewed_at + self._longest)
+        # Who tells a user of a cancellation knows it. So one that is not known here was told after this.
+        told_all = min(self._told_all.get(name, LONG_AGO) for name in self._siblings)
+        until = min(oldest + node.ttl / SLACK, max(self.membership.renewed_at, told_all) + self._longest)
         if until > right:
             if self._until == LONG_AGO:
                 log.info("the state service serves nobody: machines are answered by consent of all siblings")
@@ -95,13 +114,35 @@
 
         def then(status: int, body: bytes) -> None:
             self._asking.discard(name)
+            if status != 200:
+                return
+            try:
+                answer: peers.Consented = wire.decode(peers.Consented, body)
+            except msgspec.DecodeError as error:
+                log.error("%s answers with what is no consent: %s", name, error)
+                return
+            for cancelled in answer.cancelled:
+                self._take_cancelled(cancelled)
             now_epoch = self.membership.epoch
-            if status == 200 and now_epoch is not None and now_epoch.number == epoch and self.node.unserved():
+            if now_epoch is not None and now_epoch.number == epoch and self.node.unserved():
                 self._given[name] = max(sent, self._given.get(name, LONG_AGO))
+                if answer.complete:
+                    self._told_all[name] = max(sent, self._told_all.get(name, LONG_AGO))
 
-        if self.node.peer(name, peers.CONSENT_PATH, wire.encode(peers.ConsentWanted(epoch)), then):
+        wanted = peers.ConsentWanted(epoch, self.node.picture.revision)
+        if self.node.peer(name, peers.CONSENT_PATH, wire.encode(wanted), then):
             self._asking.add(name)
 
+    def _take_cancelled(self, cancelled: peers.CancelledJob) -> None:
+        """Take in a committed record that the watch has not brought: a cancellation changes nothing but its mark, so
+        name and revision are the whole of it."""
+        picture = self.node.picture
+        job = picture.jobs.get(cancelled.job)
+        if job is not None and not job.cancelled and cancelled.version > job.version:
+            record = msgspec.structs.replace(job.record, cancelled=True)
+            picture.apply(rec.job_key(job.id), msgspec.json.encode(record), cancelled.version)
+            log.info("job %s: cancelled, as a sibling tells", job.id)
+
     def asked(self, asked: Asked) -> None:
         """A sibling asks whether it may go on under its epoch.
 
@@ -118,4 +159,17 @@
         elif self.membership.newest_epoch() > wanted.epoch:
             self.node.refuse(asked.number, 409, "a newer epoch is known here")
         else:
-            self.node.reply(asked.number, 200, b"{}")
+            self.node.reply(asked.number, 200, wire.encode(self._consent(wanted.revision)))
+
+    def _consent(self, revision: int | None) -> peers.Consented:
+        """All that this controller has told users was in its picture before; if it was started again meanwhile, in the
+        records that it has read since. Of jobs that are over there is nothing left to stop."""
+        node = self.node
+        if revision is None or not node.loaded:
+            return peers.Consented()
+        newer = [
+            peers.CancelledJob(job.id, job.version)
+            for job in node.picture.jobs.values()
+            if job.cancelled and job.version > revision
+        ]
+        return peers.Consented(newer[: peers.MOST_CANCELLED], len(newer) <= peers.MOST_CANCELLED)
--- a/src/gladecroft/protocol/peers.py
+++ b/src/gladecroft/protocol/peers.py
@@ -12,6 +12,8 @@
 MOST_ENDED = 300
 #: The same for machines; names are at most 200 bytes long.
 MOST_HEARD = 80
+#: The same for cancelled jobs, whose names are at most 43 bytes long.
+MOST_CANCELLED = 900
 
 
 class EndedAttempt(msgspec.Struct, gc=False, frozen=True, array_like=True):
@@ -50,9 +52,28 @@
 
 
 class ConsentWanted(msgspec.Struct, frozen=True):
-    """From a controller that the state service does not serve: may it go on answering its machines under this epoch?"""
+    """From a controller that the state service does not serve: may it go on answering its machines under this epoch?
+
+    ``revision``: up to which its picture holds all that was committed. Without it nothing is told of cancellations.
+    """
 
     epoch: int
+    revision: int | None = None
+
+
+class CancelledJob(msgspec.Struct, gc=False, frozen=True, array_like=True):
+    """A job whose record has been marked as cancelled, and the revision of that change."""
+
+    job: str
+    version: int
+
+
+class Consented(msgspec.Struct, frozen=True):
+    """The answer to ``ConsentWanted``: yes, and the cancellations known to the sender that are newer than the asker's
+    revision. ``complete``: these are all of them, and all that the sender, in whatever life, has ever told a user."""
+
+    cancelled: list[CancelledJob] = []
+    complete: bool = False
 
 
 class Names(msgspec.Struct, frozen=True):
--- a/tests/test_consent.py
+++ b/tests/test_consent.py
@@ -6,15 +6,20 @@
 from datetime import timedelta
 from functools import partial
 
+import msgspec
 import pytest
 
+from gladecroft.bookkeeping import records as rec
+from gladecroft.bookkeeping.records import TaskState
+from gladecroft.coordination.core import Core
 from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Target, Verb
 from gladecroft.coordination.node import SLACK
 from gladecroft.lab.scenario import Scenario
 from gladecroft.lab.world import seconds
 from gladecroft.protocol import peers, wire
-from test_epochs import clock
-from test_fencing import Rig
+from gladecroft.protocol.settings import Operator, Platform
+from test_epochs import PLATFORM, clock
+from test_fencing import SPEC, Rig
 
 FLEET = """
 set machine.consolidate=false
@@ -189,3 +194,96 @@
     assert core.healthy()
     core.node.now = clock(203 + core.node.ttl.total_seconds()).steady
     assert not core.healthy()
+
+
+def consented(rig: Rig, at: float, answer: peers.Consented) -> None:
+    for call in unserved(rig, at):
+        rig.core.step(clock(at), [Answered(call.number, 200, wire.encode(answer))])
+
+
+def test_consent_lasts_while_all_siblings_tell_of_all_cancellations() -> None:
+    rig = entitled_rig()
+    for at in range(203, 400, 1):
+        consented(rig, at, peers.Consented([], True))
+    assert rig.core.consent.answers()
+    # From then on one tells no more: it was started again and has read nothing since.
+    workers = rig.core.node.cluster.workers
+    last = 399.0
+    while rig.core.consent.answers():
+        last += 0.5
+        consented(rig, last, peers.Consented())
+        rig.core.step(clock(last), [])
+    assert 399 + rig.core.node.ttl.total_seconds() < last < 399 + workers.cancel_s - workers.lease_s
+
+
+def test_a_sibling_tells_of_the_cancellations_that_the_asker_may_not_know() -> None:
+    rig = entitled_rig()
+    node = rig.core.node
+    node.state_bad_since = clock(199).steady
+
+    def answer(revision: int | None) -> peers.Consented:
+        body = wire.encode(peers.ConsentWanted(2, revision))
+        (reply,) = [
+            each for each in rig.core.step(clock(200), [Asked(4, Verb.CONSENT, body)]) if isinstance(each, Reply)
+        ]
+        consent: peers.Consented = wire.decode(peers.Consented, reply.body)
+        return consent
+
+    before = rig.revision
+    assert answer(before) == peers.Consented([], True)
+    rig.put("g/j/wk-1", rec.JobRecord(SPEC, 0, True))
+    assert answer(before) == peers.Consented([peers.CancelledJob("wk-1", rig.revision)], True)
+    assert answer(rig.revision) == peers.Consented([], True)
+    # An older controller does not say how much it knows, and one that is reading its records does not know all.
+    assert not answer(None).complete
+    node.loaded = False
+    assert not answer(before).complete
+
+
+def test_more_cancellations_than_a_message_holds_are_not_called_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peers, "MOST_CANCELLED", 0)
+    rig = entitled_rig()
+    rig.core.node.state_bad_since = clock(199).steady
+    rig.put("g/j/wk-1", rec.JobRecord(SPEC, 0, True))
+    body = wire.encode(peers.ConsentWanted(2, rig.revision - 1))
+    (reply,) = [each for each in rig.core.step(clock(200), [Asked(4, Verb.CONSENT, body)]) if isinstance(each, Reply)]
+    assert not wire.decode(peers.Consented, reply.body).complete
+
+
+def test_a_cancellation_that_a_sibling_tells_of_stops_the_task_and_nothing_more() -> None:
+    rig = entitled_rig()
+    rig.place(TaskState.ACTIVE)
+    rig.tasks["wk-1/0"] = {"portion": "wk-1/0", "try": 1, "status": "running"}
+    told = peers.CancelledJob("wk-1", rig.revision + 5)
+
+    def orders(at: float) -> list[tuple[str, float]]:
+        effects = rig.core.step(clock(at), [Asked(9, Verb.REPORT, rig.report())])
+        (reply,) = [each for each in effects if isinstance(each, Reply)]
+        rig.token = msgspec.json.decode(reply.body)["baton"]
+        return [(each["verb"], each.get("mercyS")) for each in msgspec.json.decode(reply.body)["orders"]]
+
+    assert orders(201) == []
+    consented(rig, 203, peers.Consented([told], True))
+    assert orders(204) == [("halt", 0.0)]
+    rig.tasks["wk-1/0"].update(status="exited", cause="halted")
+    assert orders(205) == []  # the records still place it there: it is neither reaped nor started
+    del rig.tasks["wk-1/0"]
+    assert orders(206) == []
+    # The watch brings the same later, and then it is no news.
+    job = rig.core.node.picture.jobs["wk-1"]
+    assert job.cancelled and job.version == told.version
+
+
+@pytest.mark.parametrize("body", [b"[]", b"no JSON", b'{"complete":1}', b'{"cancelled":[["wk-1"]],"complete":true}'])
+def test_a_malformed_answer_is_no_consent(body: bytes) -> None:
+    rig = entitled_rig()
+    for call in unserved(rig, 203):
+        rig.core.step(clock(203.1), [Answered(call.number, 200, body)])
+    assert report_status(rig, 208) == 503
+
+
+def test_settings_that_leave_no_room_switch_consent_off() -> None:
+    for cancel_s, possible in ((43.0, True), (22.0, False)):
+        platform = msgspec.convert(PLATFORM, Platform)
+        platform.cluster.workers.cancel_s = cancel_s
+        assert Core(platform, Operator()).consent._possible is possible, cancel_s
