--- a/src/gladecroft/coordination/ledger/closing.py
+++ b/src/gladecroft/coordination/ledger/closing.py
@@ -84,7 +84,7 @@
         ending: set[str] = set()
         for name, count in by_job.items():
             job = self.picture.jobs[name]
-            if job.done + count >= job.spec.tasks or job.cancelled and count >= job.occupied:
+            if job.done + count >= job.spec.tasks or self._cancelled(job) and count >= job.occupied:
                 ending.add(name)
                 self._end(change, job, ends)
         bound = bound_teams(self.picture)
@@ -160,13 +160,22 @@
                 continue
             if any(change.has_chunk(job, index * job.size) for index in job.chunks):
                 continue
-            if job.id in change.over:
+            if job.id in change.over or job.cancelled and not self._cancelled(job):
                 continue
             if not change.room(2, 0):
                 return
             self._final(change, job, job.done)
             self._drop_chunks(change, job)
 
+    def _cancelled(self, job: Job) -> bool:
+        """Whether the job is cancelled and all that was ever placed of it is known.
+
+        Nothing is placed after the cancellation, but its record may be known here, by this controller's own commit,
+        before what was placed just before it: such a placement had got no answer. Called over without it the job left
+        a task behind that took its team's room while the records called that free.
+        """
+        return job.cancelled and job.version <= self.picture.revision
+
     def _final(self, change: Change, job: Job, count: int) -> None:
         change.over.add(job.id)
         change.require(rec.job_key(job.id), job.version)
