--- a/src/gladecroft/coordination/membership/membership.py
+++ b/src/gladecroft/coordination/membership/membership.py
@@ -167,14 +167,16 @@
     def watched(self, event: Watched) -> None:
         self._watch_open = False
         if event.gap:
-            # The picture can't be caught up by changes: read everything again from nothing.
+            # The picture can't be caught up by changes: read everything again from nothing, and join anew, as one that
+            # was started again does. What was known of machines and ends is forgotten: in the same epoch an attempt
+            # whose end was told to its home could have been started again, and machines whose token had been raised
+            # would have been refused until the next epoch.
             log.error("the watch lost its place at revision %d: reading all records again", self.picture.revision)
             self.picture.reset()
             self.node.loaded = False
             self.listing.start_again()
             self._known_epoch = -1
-            self._credits.clear()
-            self.entitled_until = timedelta(days=-1)
+            self._leave()
         elif event.reply is not None:
             for entry in event.reply.events:
                 if entry.put is not None:
@@ -186,6 +188,12 @@
         elif event.failed:
             self._watch_next = self.node.now + RETRY
 
+    def _leave(self) -> None:
+        """Act no more; another incarnation is to join."""
+        self.lease = self.incarnation = None
+        self.entitled_until = timedelta(days=-1)
+        self._credits.clear()
+
     def _get_lease(self) -> None:
         if not self._ready("lease"):
             return
@@ -210,6 +218,8 @@
 
         def then(status: int, body: bytes) -> None:
             self._asking["join"] = self.node.now + RETRY
+            if lease != self.lease:
+                return
             if status == 200:
                 revision = wire.decode(wire.TxnReply, body).revision
                 self.picture.apply(key, value, revision)
@@ -265,9 +275,7 @@
                 both("renew", 0)
             elif status == 404 and lease == self.lease:
                 log.error("the member lease has ended: joining anew")
-                self.lease = self.incarnation = None
-                self.entitled_until = timedelta(days=-1)
-                self._credits.clear()
+                self._leave()
             else:
                 self._last_renewal = node.now - node.ttl / 5 + RETRY
 
