--- a/src/gladecroft/coordination/keeper/keeper.py
+++ b/src/gladecroft/coordination/keeper/keeper.py
@@ -1,8 +1,9 @@
 """The owner's work for each of its machines: answer reports, give commands, tell what is gone.
 
 What the records place on a machine is *wanted*, what its newest report lists is *present*; the commands are the
-difference. Absence proves something only in a *trusted* report: no direct command is unanswered, and the report
-carries the fencing token, so that nothing sent earlier can still be executed.
+difference. Absence proves something only in a *trusted* report: no direct command is unanswered, no answer that starts
+something may still be on its way, and the report carries the fencing token, so that nothing sent earlier can still be
+executed.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 from gladecroft.coordination.messages import Asked
 from gladecroft.coordination.node import SLACK, Node
 from gladecroft.protocol import peers, wire
-from gladecroft.protocol.wire import Command, Commands, Report
+from gladecroft.protocol.wire import Command, Commands, Op, Report
 
 log = logging.getLogger(__name__)
 
@@ -115,8 +116,9 @@
             node.refuse(asked.number, 503, "this machine does not hear its answers", 1)
             return
         self._ask_to_show(machine)
-        machine.answered_at = node.now
+        machine.answered_at, machine.answered_session = node.now, report.session
         commands = self._commands(machine)
+        machine.starting = any(command.op is Op.START for command in commands)
         node.reply(asked.number, 200, wire.encode(Commands(self.token(machine), commands)))
         self.picture.touched.discard(machine.id)
 
@@ -154,6 +156,8 @@
             self.picture.stale.add(machine.id)
         machine.report = report
         machine.heard_at = self.node.now
+        if not answer:
+            machine.starting = False  # it has taken in the last answer, or has given it up
         if shows:
             machine.lost = machine.suspect = False
         elif machine.unshown:
@@ -253,6 +257,8 @@
             return
         if machine.heard_at is None or node.now - machine.heard_at > 2 * node.report:
             return
+        if report.session != machine.answered_session:
+            return
         before = dict(machine.sent)
         commands = self._commands(machine)
         fresh = worth_a_call(commands, before, node.now)
--- a/src/gladecroft/coordination/keeper/machine.py
+++ b/src/gladecroft/coordination/keeper/machine.py
@@ -40,7 +40,13 @@
     beside: dict[TaskKey, list[TaskReport]] = {}
     answered_at: timedelta | None = None
     heard_at: timedelta | None = None
+    #: The session in which that was. Nothing is started straight in one that was never answered: its lease began
+    #: before, and ends later than ``answered_at`` tells.
+    answered_session: int = 0
+    #: Whether a direct command has no answer yet, and whether the answer to the newest report, which may come up to 4 s
+    #: after it was sent, starts something: then no report that is made meanwhile proves what is absent.
     direct: bool = False
+    starting: bool = False
     sent: dict[tuple[str, int, int, Op], timedelta] = {}
     errors: dict[str, int] = {}
     images: dict[str, None] = {}
@@ -54,7 +60,8 @@
     told: bool = False
 
     def trusted(self) -> bool:
-        return self.report is not None and not self.direct and self.report.token >= self.fence
+        on_its_way = self.direct or self.starting
+        return self.report is not None and not on_its_way and self.report.token >= self.fence
 
     def shows(self, report: Report, now: timedelta, answer: bool = False) -> bool:
         """Whether a new report shows that the machine hears its owner. ``answer``: it is the answer to a command."""
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.coordination.core import Core
+from gladecroft.coordination.keeper.machine import Machine
 from gladecroft.coordination.messages import Answered, Asked, Call, Reply, Target, Verb
 from gladecroft.protocol import wire
 from gladecroft.protocol.settings import Operator, Platform
@@ -37,6 +39,8 @@
         self.reaped = False
         self.direct: Call | None = None
         self.late: list[Any] = []
+        #: The answer to a report that is still on its way. The next report comes when it has, or has been given up.
+        self.held: Any = None
         self.broken = ""
         self.step([])
         self.core.membership.entitled_until = clock(10_000).steady
@@ -86,11 +90,17 @@
         call, body = self.direct, None if self.direct is None else msgspec.json.decode(self.direct.body or b"")
         if what == "place" and not self.core.node.picture.jobs["wk-1"].chunks:
             self.place(TaskState.ACTIVE)
-        elif what in ("beat", "beat, answer lost"):
+        elif what in ("beat", "beat, answer lost", "beat, answer held"):
             self.number += 1
+            self.held = None
             for reply in self.step([Asked(self.number, Verb.REPORT, self.report())]):
                 if reply.status == 200 and what == "beat":
                     self.execute(msgspec.json.decode(reply.body))
+                elif reply.status == 200 and what == "beat, answer held":
+                    self.held = msgspec.json.decode(reply.body)
+        elif what == "held answer" and self.held is not None:
+            held, self.held = self.held, None
+            self.execute(held)
         elif what == "finish":
             for task in self.tasks.values():
                 if task["status"] == "running":
@@ -116,13 +126,18 @@
 
 
 DEEDS = st.sampled_from(
-    ["beat", "beat, answer lost", "place", "finish", "commit", "stop", "late", "answer", "lose", "lose answer"]
-)
+    ["beat", "beat, answer lost", "beat, answer held", "held answer", "place", "finish", "commit", "stop", "late",
+     "answer", "lose", "lose answer"]
+)  # fmt: skip
 
 
 @settings(max_examples=500)
 @given(st.lists(DEEDS, min_size=5, max_size=25))
 @example(["beat", "place", "lose", "stop", "beat, answer lost", "late"])
+@example(["place", "beat", "place", "beat, answer held", "stop", "held answer"])
+@example(
+    ["beat", "place", "beat, answer held", "answer", "finish", "beat, answer held", "commit", "answer", "held answer"]
+)
 @example(["beat", "place", "lose", "beat", "finish", "beat, answer lost", "commit", "beat", "beat", "late"])
 def test_nothing_starts_after_it_was_called_gone(deeds: list[str]) -> None:
     rig = Rig()
@@ -136,3 +151,70 @@
     for deed in ("beat", "place", "answer", "beat", "stop", "answer", "beat", "commit", "beat", "beat"):
         rig.do(deed)
     assert rig.reaped and not rig.tasks
+
+
+def test_absence_proves_nothing_while_a_start_may_be_on_its_way_in_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A report made after a direct command may be older than what the answer to the last report brings: PROTOCOL lets a
+    worker wait 4 s for that. Called gone, the task was placed elsewhere while it started here."""
+
+    def called_gone() -> bool:
+        rig = Rig()
+        rig.put("g/j/wk-2", rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-2", tasks=2), 0))
+
+        def place(first: TaskState, second: TaskState) -> None:
+            machines = ["m-1" if state in (TaskState.ACTIVE, TaskState.STOPPING) else "" for state in (first, second)]
+            rig.put(
+                "g/p/wk-2/0", rec.ChunkRecord([TaskRecord(first, 1, machines[0]), TaskRecord(second, 1, machines[1])])
+            )
+            rig.step([])
+
+        rig.do("beat")
+        rig.do("beat")
+        place(TaskState.ACTIVE, TaskState.QUEUED)
+        place(TaskState.ACTIVE, TaskState.ACTIVE)  # the command for the first is on its way
+        rig.do("beat, answer held")
+        assert {order["portion"] for order in rig.held["orders"]} == {"wk-2/0", "wk-2/1"}
+        rig.do("answer")
+        assert set(rig.tasks) == {"wk-2/0"}
+        place(TaskState.ACTIVE, TaskState.STOPPING)
+        gone = ("wk-2", 1, 1) in rig.core.ledger.exits
+        rig.do("held answer")
+        assert set(rig.tasks) == {"wk-2/0", "wk-2/1"}
+        for _ in range(3):
+            rig.do("beat")
+            rig.do("answer")
+        assert ("wk-2", 1, 1) in rig.core.ledger.exits  # and it is proven in the end
+        return gone
+
+    assert not called_gone()
+    monkeypatch.setattr(Machine, "trusted", lambda self: not self.direct and self.report.token >= self.fence)
+    assert called_gone()
+
+
+def test_nothing_is_started_straight_in_a_session_that_was_never_answered() -> None:
+    """A machine that loses its answers begins a new session while its owner still counts the last lease from an answer
+    that never arrived. Started there by a direct command, a task outlived the proof that it was gone."""
+    rig = Rig()
+    rig.do("beat")
+    rig.do("beat")
+    machine = rig.core.keeper.machines["m-1"]
+    lease = rig.core.node.lease.total_seconds()
+
+    def report(session: int, at: float) -> int:
+        rig.at = at - 0.6
+        rig.number += 1
+        (reply,) = rig.step(
+            [Asked(rig.number, Verb.REPORT, rig.report().replace(b'"shift":1', b'"shift":%d' % session))]
+        )
+        return reply.status
+
+    begun = rig.at
+    assert report(1, begun + 7) == 200 and report(1, begun + 14) == 200  # neither answer arrives
+    assert report(2, begun + lease + 1.5) == 503 and machine.report is not None and machine.report.session == 2
+    rig.place(TaskState.ACTIVE)
+    rig.step([])
+    assert rig.direct is None
+    # Once it has been answered in this session, its lease counts from that.
+    rig.token = rig.core.keeper.token(machine)
+    assert report(2, begun + lease + 2.5) == 200
+    assert machine.answered_at is not None and machine.answered_session == 2
