--- a/src/gladecroft/coordination/consent.py
+++ b/src/gladecroft/coordination/consent.py
@@ -149,10 +149,8 @@
         Not if the state service serves this controller: then the sibling alone is refused and is to be replaced. Not if
         a newer epoch was ever known here: under that one its machines may be another's.
         """
-        try:
-            wanted: peers.ConsentWanted = wire.decode(peers.ConsentWanted, asked.body)
-        except msgspec.DecodeError as error:
-            self.node.refuse(asked.number, 400, str(error))
+        wanted = self.node.read(asked, peers.ConsentWanted)
+        if wanted is None:
             return
         if not self.node.unserved():
             self.node.refuse(asked.number, 409, "the state service answers here")
--- a/src/gladecroft/coordination/keeper/keeper.py
+++ b/src/gladecroft/coordination/keeper/keeper.py
@@ -85,10 +85,8 @@
 
     def reported(self, asked: Asked) -> None:
         node = self.node
-        try:
-            report: Report = wire.decode(Report, asked.body)
-        except msgspec.DecodeError as error:
-            node.refuse(asked.number, 400, str(error))
+        report = node.read(asked, Report)
+        if report is None:
             return
         if not self.consent.answers():
             node.refuse(asked.number, 503, "not entitled to act", 1)
@@ -185,10 +183,8 @@
     def told(self, asked: Asked) -> None:
         """A sibling tells of machines that have reported to it. No proof of anything: what is placed on them is, as
         everywhere, only what is committed."""
-        try:
-            message: peers.Heard = wire.decode(peers.Heard, asked.body)
-        except msgspec.DecodeError as error:
-            self.node.refuse(asked.number, 400, str(error))
+        message = self.node.read(asked, peers.Heard)
+        if message is None:
             return
         if not self.node.loaded:
             self.node.refuse(asked.number, 503, "starting", 1)
--- a/src/gladecroft/coordination/keeper/visits.py
+++ b/src/gladecroft/coordination/keeper/visits.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import msgspec
-
 from gladecroft.coordination.keeper.machine import Machine
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked
@@ -211,10 +209,8 @@
 
     def hears(self, asked: Asked) -> None:
         """Say which of some machines report here."""
-        try:
-            message: peers.Names = wire.decode(peers.Names, asked.body)
-        except msgspec.DecodeError as error:
-            self.node.refuse(asked.number, 400, str(error))
+        message = self.node.read(asked, peers.Names)
+        if message is None:
             return
         if not self.membership.settled(SETTLED):
             # Its machines may be on their way here: started anew, an owner once lost a hundred at its first words.
--- a/src/gladecroft/coordination/ledger/ends.py
+++ b/src/gladecroft/coordination/ledger/ends.py
@@ -128,10 +128,8 @@
     def told(self, asked: Asked) -> None:
         """A sibling tells of ends on its machines. What it proves holds as long as nobody else has come to own them:
         so it counts under the epoch named, and the commit that rests on it is conditional on that epoch."""
-        try:
-            message: peers.Ended = wire.decode(peers.Ended, asked.body)
-        except msgspec.DecodeError as error:
-            self.node.refuse(asked.number, 400, str(error))
+        message = self.node.read(asked, peers.Ended)
+        if message is None:
             return
         epoch = self.picture.epoch
         if epoch is None or epoch.number != message.epoch or not self.membership.entitled():
--- a/src/gladecroft/coordination/node.py
+++ b/src/gladecroft/coordination/node.py
@@ -6,15 +6,19 @@
 from collections import Counter
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from typing import TypeVar
+
+import msgspec
 
 from gladecroft.bookkeeping.picture import Picture
-from gladecroft.coordination.messages import Call, Effect, Reply, Target
+from gladecroft.coordination.messages import Asked, Call, Effect, Reply, Target
 from gladecroft.policies import Panel, switched_on
 from gladecroft.protocol.settings import DRIFT, Operator, Platform, member_ttl
-from gladecroft.protocol.wire import Refusal, encode
+from gladecroft.protocol.wire import Refusal, decode, encode
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
 Handler = Callable[[int, bytes], None]
 
 ZERO = timedelta()
@@ -237,6 +241,17 @@
     def refuse(self, number: int, status: int, why: str, retry_after: int | None = None) -> None:
         self.reply(number, status, encode(Refusal(why)), retry_after)
 
+    def read(self, asked: Asked, type_: type[T]) -> T | None:
+        """What another controller or a machine says; None: it is malformed, or of a version that can't be read, and is
+        refused with 400."""
+        try:
+            message: T = decode(type_, asked.body)
+        except msgspec.DecodeError as error:
+            log.error("%s: refused what can't be read: %s", asked.verb.value, error)
+            self.refuse(asked.number, 400, str(error))
+            return None
+        return message
+
     def effect(self, effect: Effect) -> None:
         self._effects.append(effect)
 
--- a/tests/test_consent.py
+++ b/tests/test_consent.py
@@ -287,3 +287,16 @@
         platform = msgspec.convert(PLATFORM, Platform)
         platform.cluster.workers.cancel_s = cancel_s
         assert Core(platform, Operator()).consent._possible is possible, cancel_s
+
+
+@pytest.mark.parametrize("verb", [Verb.CONSENT, Verb.ENDED, Verb.HEARD, Verb.HEARS, Verb.REPORT])
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"epoch":"2","attempts":7,"machines":{}}', b'{"epoch":-1.5}', b"\xff"])
+def test_what_a_sibling_says_that_cant_be_read_is_refused_and_logged(
+    verb: Verb, body: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    rig = entitled_rig()
+    rig.place(TaskState.ACTIVE)
+    effects = rig.core.step(clock(200), [Asked(4, verb, body)])
+    assert [effect.status for effect in effects if isinstance(effect, Reply)] == [400]
+    assert any("can't be read" in record.message for record in caplog.records)
+    assert not rig.core.ledger.exits and report_status(rig, 201) == 200
