--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -58,6 +58,8 @@
         self.admission: rec.AdmissionRecord | None = None
         #: The machines among them that are not simply up.
         self.aside: dict[str, rec.MachineUse] = {}
+        #: The few of them on or towards which somebody must act each round: those that leave, are bad or are emptied.
+        self.clearing: dict[str, rec.MachineUse] = {}
         #: What the records place on each machine.
         self.on_machine: dict[str, dict[TaskKey, rec.TaskRecord]] = {}
         #: Machines whose wanted tasks changed since the owner last looked, and the same for the placers.
@@ -75,6 +77,8 @@
         self.waiting = Waiting()
         #: Jobs of which the order of waiting work has not taken notice yet; counts how often all began anew.
         self.requeued: set[str] = set()
+        #: Jobs whose tasks changed, or that are no more, since the ends known ahead of the records were last looked at.
+        self.chunk_news: set[str] = set()
         self.resets += 1
         #: Attempts that this controller knows to have ended, though the records don't say so yet. They take no room.
         self.ended: dict[TaskKey, int] = {}
@@ -120,15 +124,16 @@
         elif kind == rec.MACHINES:
             self.heard.pop(name, None)
             self.doubted.discard(name)
+            self.aside.pop(name, None)
+            self.clearing.pop(name, None)
             if value is None:
                 self.machines.pop(name, None)
-                self.aside.pop(name, None)
             else:
                 machine = self.machines[name] = decode(rec.MachineRecord, value)
-                if machine.use is rec.MachineUse.UP:
-                    self.aside.pop(name, None)
-                else:
+                if machine.use is not rec.MachineUse.UP:
                     self.aside[name] = machine.use
+                if machine.use in rec.CLEARING:
+                    self.clearing[name] = machine.use
             self.touched.add(name)
             self.stale.add(name)
         elif kind == rec.MAIL:
@@ -224,6 +229,7 @@
         if job is None:
             return
         self.requeued.add(name)
+        self.chunk_news.add(name)
         self.waiting.forget(job)
         self._guarantees.forget(job)
         if name in self.gangs:
@@ -250,6 +256,7 @@
             return
         if chunk is not None and len(chunk) != job.chunk_length(index):
             raise ValueError("a chunk has the wrong length")
+        self.chunk_news.add(name)
         base = index * self.size
         old = job.chunks.get(index)
         occupied = job.occupied
--- a/src/gladecroft/bookkeeping/records.py
+++ b/src/gladecroft/bookkeeping/records.py
@@ -117,6 +117,10 @@
     GONE = 6
 
 
+#: Uses in which what is on a machine is to be stopped or moved.
+CLEARING = (MachineUse.LEAVING, MachineUse.BAD, MachineUse.EMPTYING)
+
+
 #: A machine's type and zone, and whether it is a cheap one (spot).
 MachineSort = tuple[str, str, bool]
 
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -274,7 +274,7 @@
 
         In a large fleet something always waits for a moment and some machine always boots: there a few don't matter.
         """
-        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
+        emptying = [name for name, use in self.picture.clearing.items() if use is MachineUse.EMPTYING]
         if short:
             self._calm_since = now
             # Services on the move wait for a moment too: only what finds no room brings the machine back.
--- a/src/gladecroft/coordination/keeper/keeper.py
+++ b/src/gladecroft/coordination/keeper/keeper.py
@@ -339,10 +339,8 @@
         heard = max(machine.heard_at or machine.owner_since, machine.owner_since)
         if node.now - heard > self._quiet:
             self._silent(machine)
-        if node.now < self.gone_at(machine):
-            return
         wanted = self.picture.on_machine.get(machine.id)
-        if wanted:
+        if wanted and node.now >= self.gone_at(machine):
             machine.lost, machine.told = True, False
             for key, task in wanted.items():
                 self.ledger.exit(*key, task.attempt, Outcome(False, f"{LOST}{machine.id}"))
--- a/src/gladecroft/coordination/ledger/closing.py
+++ b/src/gladecroft/coordination/ledger/closing.py
@@ -11,7 +11,7 @@
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.picture import Picture
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
-from gladecroft.coordination.ledger.ends import Ends, Outcome
+from gladecroft.coordination.ledger.ends import Ends, Gathered
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.node import Node
 
@@ -22,9 +22,8 @@
 #: A limit holds work up once less than this part of it is left.
 NEAR_LIMIT = 0.1
 
-#: A job's chunk, and what ended in it.
+#: A job's chunk.
 Group = tuple[str, int]
-End = tuple[int, int, Outcome]
 
 
 def bound_teams(picture: Picture) -> set[str]:
@@ -52,60 +51,38 @@
         self.membership = membership
         self.ends = ends
 
-    def by_chunk(self) -> dict[Group, list[End]]:
-        """The ends to be noted here, by chunk, the most pressing chunks first."""
-        groups: dict[Group, list[End]] = {}
-        since: dict[Group, timedelta] = {}
-        for key, outcome in list(self.ends.exits.items()):
-            name, number, attempt = key
-            job = self.picture.jobs.get(name)
-            task = None if job is None else job.task(number)
-            if job is None or task is None or not task.machine or task.attempt != attempt:
-                self.ends.settle(key)
-                continue
-            if self.ends.left_to_home(key, job):
-                continue
-            group = (name, number // job.size)
-            groups.setdefault(group, []).append((number, attempt, outcome))
-            since.setdefault(group, self.ends.since[key])
-        return {group: groups[group] for group in sorted(groups, key=lambda group: since[group])}
-
-    def exits(self, change: Change, ends: dict[Group, list[End]], reserve: int) -> None:
+    def exits(self, change: Change, ends: dict[Group, Gathered], reserve: int) -> None:
         """Work ends into the transaction for which somebody waits, as many of a chunk's as are known in one write.
 
         After a stand-still many ends are to be noted: work that must start at once is not to wait for all of them,
         so some operations are held in reserve for it.
         """
-        by_job: dict[str, int] = {}
+        done: dict[str, int] = {}
+        ended_of: dict[str, int] = {}
         for (name, _), ended in ends.items():
-            job = self.picture.jobs[name]
-            counts = len(ended) if job.cancelled else sum(outcome.done for _, _, outcome in ended)
-            by_job[name] = by_job.get(name, 0) + counts
+            done[name] = done.get(name, 0) + ended.done
+            ended_of[name] = ended_of.get(name, 0) + len(ended.ends)
         ending: set[str] = set()
-        for name, count in by_job.items():
+        for name, count in done.items():
             job = self.picture.jobs[name]
-            if job.done + count >= job.spec.tasks or self._cancelled(job) and count >= job.occupied:
+            if self._cancelled(job) and ended_of[name] >= job.occupied or job.done + count >= job.spec.tasks:
                 ending.add(name)
-                self._end(change, job, ends)
+                self._end(change, job, job.done + count)
         bound = bound_teams(self.picture)
         for group, ended in ends.items():
             job = self.picture.jobs[group[0]]
             if job.id not in change.over and (
                 job.id in ending
                 or job.spec.team in bound
-                or any(
-                    not outcome.done or job.task(number).machine in self.picture.aside for number, _, outcome in ended
-                )
+                or ended.done < len(ended.ends)
+                or not self.picture.aside.keys().isdisjoint(ended.machines)
             ):
                 self._group(change, group, ended, reserve)
 
-    def _end(self, change: Change, job: Job, ends: dict[Group, list[End]]) -> None:
+    def _end(self, change: Change, job: Job, done: int) -> None:
         """With these ends the job is over: its final state is written at once, with no write of its chunks before."""
         if self.membership.job_home(job.spec) != self.node.name or not change.room(2, 0, len(job.chunks)):
             return
-        done = job.done + sum(
-            outcome.done for (name, _), ended in ends.items() if name == job.id for _, _, outcome in ended
-        )
         for index, version in job.versions.items():
             change.require(rec.chunk_key(job.id, index), version)
         self._final(change, job, done)
@@ -120,7 +97,7 @@
                 return
             change.drop_chunk(job, index)
 
-    def done(self, change: Change, ends: dict[Group, list[End]]) -> None:
+    def done(self, change: Change, ends: dict[Group, Gathered]) -> None:
         """Note completed tasks for which nobody waits: their room counts as free already. While writes are short they
         are gathered, and come after all else, unless their chunk is written anyway."""
         node = self.node
@@ -130,17 +107,17 @@
             job = self.picture.jobs[group[0]]
             if job.id in change.over:
                 continue
-            age = node.now - self.ends.since[(job.id, *ended[0][:2])]
+            age = node.now - ended.since
             due = not short or age >= (GATHER if spare else GATHER_MOST)
-            if due or change.has_chunk(job, ended[0][0]):
+            if due or change.has_chunk(job, ended.ends[0][0]):
                 self._group(change, group, ended, 0)
 
-    def _group(self, change: Change, group: Group, ended: list[End], reserve: int) -> None:
+    def _group(self, change: Change, group: Group, ended: Gathered, reserve: int) -> None:
         job = self.picture.jobs[group[0]]
-        chunks = 0 if change.has_chunk(job, ended[0][0]) else 1
+        chunks = 0 if change.has_chunk(job, ended.ends[0][0]) else 1
         if chunks and not change.room(chunks + reserve, 0):
             return
-        for number, attempt, outcome in ended:
+        for number, attempt, outcome in ended.ends:
             task = change.task(job, number)
             if task.attempt != attempt or not task.machine:
                 continue
--- a/src/gladecroft/coordination/ledger/ends.py
+++ b/src/gladecroft/coordination/ledger/ends.py
@@ -36,6 +36,15 @@
     failed: bool = False
 
 
+class Gathered(msgspec.Struct):
+    """The ends in one chunk that are to be noted together: each task's number, its attempt, how it ended."""
+
+    since: timedelta
+    ends: list[tuple[int, int, Outcome]] = []
+    done: int = 0
+    machines: set[str] = set()
+
+
 class Ends:
     def __init__(self, node: Node, membership: Membership) -> None:
         self.node = node
@@ -43,6 +52,11 @@
         self.membership = membership
         self.exits: dict[AttemptKey, Outcome] = {}
         self.since: dict[AttemptKey, timedelta] = {}
+        #: The same ends by job, what of that has been gathered by chunk, and the jobs that have new ones. While changes
+        #: are short thousands wait; all looked at in each round, they took a seventh of the core's time.
+        self._of_job: dict[str, dict[AttemptKey, Outcome]] = {}
+        self._gathered: dict[str, dict[int, Gathered]] = {}
+        self._news: set[str] = set()
         #: Machines that the cloud has taken back by this controller's request: their attempts are gone for good.
         self.gone: dict[str, None] = {}
         #: Machines of which some sibling could long not be told.
@@ -60,6 +74,9 @@
         if key not in self.exits:
             self.exits[key] = outcome
             self.since[key] = self.node.now
+            self._of_job.setdefault(job, {})[key] = outcome
+            self._gathered.pop(job, None)
+            self._news.add(job)
             self.picture.end((job, number), attempt)
             if outcome.note.startswith(LOST):
                 # The machine's record may say so only later. Placed there meanwhile, a task would be lost at once.
@@ -68,10 +85,48 @@
     def settle(self, key: tuple[str, int, int]) -> None:
         del self.exits[key]
         del self.since[key]
+        of_job = self._of_job[key[0]]
+        del of_job[key]
+        if not of_job:
+            del self._of_job[key[0]]
+        self._gathered.pop(key[0], None)
         self.picture.end(key[:2], None)
         self._told.pop(key, None)
         self._with_home.discard(key)
 
+    def by_chunk(self) -> dict[tuple[str, int], Gathered]:
+        """The ends to be noted here, by job and chunk, the most pressing first; what the records tell is settled."""
+        news = self._news | self.picture.chunk_news
+        self._news.clear()
+        self.picture.chunk_news.clear()
+        for name in news & self._of_job.keys():
+            job = self.picture.jobs.get(name)
+            for key in list(self._of_job[name]):
+                task = None if job is None else job.task(key[1])
+                if task is None or not task.machine or task.attempt != key[2]:
+                    self.settle(key)
+        groups = {
+            (name, index): gathered
+            for name in self._of_job
+            if (job := self.picture.jobs.get(name)) is not None and not self.left_to_home(job)
+            for index, gathered in self._gather(job).items()
+        }
+        return dict(sorted(groups.items(), key=lambda group: group[1].since))
+
+    def _gather(self, job: Job) -> dict[int, Gathered]:
+        gathered = self._gathered.get(job.id)
+        if gathered is None:
+            gathered = self._gathered[job.id] = {}
+            for key, outcome in self._of_job[job.id].items():
+                _, number, attempt = key
+                group = gathered.get(number // job.size)
+                if group is None:
+                    group = gathered[number // job.size] = Gathered(self.since[key])
+                group.ends.append((number, attempt, outcome))
+                group.done += outcome.done
+                group.machines.add(job.task(number).machine)
+        return gathered
+
     def epoch_changed(self, continuous: bool) -> None:
         """Drop proofs about machines that are, or were meanwhile, another's: it may have started the attempt again.
 
@@ -98,18 +153,22 @@
         self._told_at = node.now
         self._read_mail(epoch.number)
         batches: dict[str, list[peers.EndedAttempt]] = {}
-        for key, outcome in self.exits.items():
-            job = self.picture.jobs.get(key[0])
+        for name, ended in self._of_job.items():
+            job = self.picture.jobs.get(name)
             home = None if job is None else self.membership.job_home(job.spec)
-            last = self._told.get(key)
-            if home is None or home == node.name or last is not None and node.now - last < TELL_AGAIN:
+            if home is None or home == node.name:
                 continue
             batch = batches.setdefault(home, [])
-            if len(batch) < peers.MOST_ENDED:
-                batch.append(peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed))
-                self._told[key] = node.now
+            for key, outcome in ended.items():
+                if len(batch) >= peers.MOST_ENDED:
+                    break
+                last = self._told.get(key)
+                if last is None or node.now - last >= TELL_AGAIN:
+                    batch.append(peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed))
+                    self._told[key] = node.now
         for home, batch in batches.items():
-            self._tell(home, epoch.number, batch)
+            if batch:
+                self._tell(home, epoch.number, batch)
 
     def _tell(self, home: str, epoch: int, batch: list[peers.EndedAttempt]) -> None:
         keys = [(ended.job, ended.number, ended.attempt) for ended in batch]
@@ -172,12 +231,15 @@
         size = 100
         ended: list[peers.EndedAttempt] = []
         heard: list[peers.HeardMachine] = []
-        for key, outcome in self.exits.items():
+        others = [
+            (key, outcome)
+            for name, of_job in self._of_job.items()
+            if (job := self.picture.jobs.get(name)) is not None and self.left_to_home(job)
+            for key, outcome in of_job.items()
+        ]
+        for key, outcome in others:
             if key in self._with_home or node.now - self.since[key] < TELL_IN_VAIN:
                 continue
-            job = self.picture.jobs.get(key[0])
-            if job is None or not self.left_to_home(key, job):
-                continue
             each = peers.EndedAttempt(*key, outcome.done, outcome.note, outcome.failed)
             size += len(msgspec.json.encode(each)) + 1
             if size > self.picture.value_bytes:
@@ -202,7 +264,7 @@
         change.put(rec.mail_key(node.name), rec.MailRecord(epoch.number, ended, heard))
         self._mailed_at = node.now
 
-    def left_to_home(self, key: tuple[str, int, int], job: Job) -> bool:
-        """Whether an end is the home's to note. If the home can't be told it learns of it by mail: when owners wrote
-        such ends themselves, each cost a change, out of the small shares of those who place nothing."""
+    def left_to_home(self, job: Job) -> bool:
+        """Whether a job's ends are its home's to note. If the home can't be told it learns of it by mail: when owners
+        wrote such ends themselves, each cost a change, out of the small shares of those who place nothing."""
         return self.membership.job_home(job.spec) != self.node.name
--- a/src/gladecroft/coordination/ledger/ledger.py
+++ b/src/gladecroft/coordination/ledger/ledger.py
@@ -123,7 +123,7 @@
         change = Change(self.picture, min(ops, budget), MAX_BYTES)
         node.lend()
         self._compose_claims(change)
-        ends = self.closing.by_chunk()
+        ends = self.ends.by_chunk()
         self.closing.exits(change, ends, change.max_ops // 2 if urgent else 0)
         # Machines come in hundreds after a burst of renting; work that can already run is not to wait for them all.
         self._compose_machines(change, change.max_ops // 2 if self.picture.queued else 0)
--- a/src/gladecroft/coordination/placers/stops.py
+++ b/src/gladecroft/coordination/placers/stops.py
@@ -39,8 +39,8 @@
 
         The home does it, not the machine's owner, so that a team's records have one writer.
         """
-        for name, use in self.picture.aside.items():
-            if use not in (MachineUse.LEAVING, MachineUse.BAD):
+        for name, use in self.picture.clearing.items():
+            if use is MachineUse.EMPTYING:
                 continue
             why = "notice" if use is MachineUse.LEAVING else "bad machine"
             until_s = self.picture.machines[name].until_s if use is MachineUse.LEAVING else 0
@@ -79,7 +79,7 @@
 
     def _being_emptied(self) -> list[str]:
         """The machines whose services are to move elsewhere."""
-        emptying = [name for name, use in self.picture.aside.items() if use is MachineUse.EMPTYING]
+        emptying = [name for name, use in self.picture.clearing.items() if use is MachineUse.EMPTYING]
         panel = self.node.panel
         if panel is not None and panel.drains():
             emptying += [name for name, sort in self._in_use() if panel.drain(name, sort) and name not in emptying]
