--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.change import Change
@@ -16,6 +17,7 @@
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
 from gladecroft.bookkeeping.teams import Guarantees
 from gladecroft.coordination.fleet.plan import Plan, Room, Terms
+from gladecroft.coordination.ledger import Outcome
 from gladecroft.coordination.placers.lineup import Lineup
 from gladecroft.coordination.placers.placers import MANY_MOVED
 from gladecroft.lab.scenario import Scenario
@@ -236,3 +238,44 @@
     assert plan.fill(job("wk-3", 40, 4.0, 1.0), True)
     assert sum(plan.want.values()) == 7
     assert not plan.fill(job("wk-4", 1, 4.0, 1.0), True)
+
+
+def test_ends_that_wait_are_looked_at_only_when_something_changed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    rig = Rig()
+    picture, ends = rig.core.node.picture, rig.core.ledger.ends
+    size = picture.size
+    for name in ("wk-2", "wk-3"):
+        spec = msgspec.structs.replace(SPEC, id=name, tasks=size)
+        rig.put(f"g/j/{name}", rec.JobRecord(spec, 0))
+        rig.put(f"g/p/{name}/0", rec.ChunkRecord([TaskRecord(TaskState.ACTIVE, 1, "m-1")] * size))
+        for number in range(size):
+            ends.exit(name, number, 1, Outcome(True))
+    monkeypatch.setattr(ends, "left_to_home", lambda job: False)
+    looked: Counter[str] = Counter()
+    task = Job.task
+
+    def counted(job: Job, number: int) -> TaskRecord:
+        looked[job.id] += 1
+        return task(job, number)
+
+    monkeypatch.setattr(Job, "task", counted)
+    first = ends.by_chunk()
+    assert {group: len(gathered.ends) for group, gathered in first.items()} == {("wk-2", 0): size, ("wk-3", 0): size}
+    looked.clear()
+    assert ends.by_chunk().keys() == first.keys() and not looked
+    # One more end, then a change of the records: only that job is looked at, and what the records tell is settled.
+    rig.put(
+        "g/p/wk-2/0",
+        rec.ChunkRecord([TaskRecord(TaskState.DONE, 1)] * (size - 1) + [TaskRecord(TaskState.ACTIVE, 1, "m-1")]),
+    )
+    assert {group: len(gathered.ends) for group, gathered in ends.by_chunk().items()} == {
+        ("wk-2", 0): 1,
+        ("wk-3", 0): size,
+    }
+    assert looked["wk-2"] >= size and not looked["wk-3"]
+    assert len(ends.exits) == len(ends.since) == size + 1
+    # A job that is no more takes its ends along.
+    picture.apply("g/j/wk-3", None, rig.revision + 1)
+    assert set(ends.by_chunk()) == {("wk-2", 0)} and len(ends.exits) == 1
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -44,7 +44,7 @@
         )
     at = 25.0
     for _ in range(2):
-        who = drawn.choice(["leader", "leader", "follower"])
+        who = drawn.choice(["leader", "leader", f"n{seed % nodes}"])
         lines.append(f"at {at:.1f} refuse {who} for={drawn.uniform(1, 20):.1f}")
         down = at + drawn.uniform(0.2, 7)
         for _ in range(3):
