--- a/src/gladecroft/lab/scenario.py
+++ b/src/gladecroft/lab/scenario.py
@@ -4,6 +4,7 @@
 
 import math
 import shlex
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -385,14 +386,21 @@
             else:
                 self.world.later(by, lambda: serve(node, method, path, body, reply))
 
-        worker.direct = held  # type: ignore[method-assign]
-        self.world.later(span, lambda: setattr(worker, "direct", serve))
+        self._between(worker, span, held)
 
     def _shut(self, worker: Worker, span: timedelta) -> None:
         """Only what is sent straight to its address does not reach it."""
-        serve = worker.direct
-        worker.direct = lambda *asked: None  # type: ignore[method-assign]
-        self.world.later(span, lambda: setattr(worker, "direct", serve))
+        self._between(worker, span, lambda *asked: None)
+
+    def _between(self, worker: Worker, span: timedelta, do: Callable[..., None]) -> None:
+        """For a while what is sent straight to a machine goes another way. Several at a time don't undo each other: put
+        back in the order in which they began, the second left the first in force for good."""
+        serve, until = worker.direct, self.world.now + span
+
+        def direct(node: str, method: str, path: str, body: bytes, reply: Replier) -> None:
+            (do if self.world.now < until else serve)(node, method, path, body, reply)
+
+        worker.direct = direct  # type: ignore[method-assign]
 
     def _submit(self, name: str, named: Words) -> None:
         kind = named.get("kind", "batch")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -107,3 +107,16 @@
         result = CliRunner().invoke(main, args)
     assert result.exit_code == 2
     assert f"gladecroft: 127.0.0.1:{port} or 127.0.0.1:{int(port) + 1} is in use" in result.output
+
+
+def test_troubles_of_one_machine_that_overlap_are_over_when_both_are() -> None:
+    # Put back in the order in which they began, the second left the first in force for good.
+    scenario = Scenario(
+        "set machine.idle=3600\nteam t cpus=8 max=8\ntype g16 cpus=16 memory=64\nup g16 count=1\n"
+        "at 5 held busiest by=30 for=10\nat 6 deaf busiest direct=yes for=10\nrun 20",
+        1,
+    ).run()
+    (worker,) = scenario.cloud.machines.values()
+    answers: list[int] = []
+    worker.direct("n0", "GET", "/status", b"", lambda status, body: answers.append(status))
+    assert answers == [200]
