--- a/src/gladecroft/lab/cloud.py
+++ b/src/gladecroft/lab/cloud.py
@@ -26,6 +26,8 @@
         self.next = 1
         self.outage = False
         self.never_boot = 0.0
+        #: Until when machines are up within two seconds.
+        self.quick_until = world.now
         self.new_worker: Callable[[str, Kind, str, bool], Worker]
         self.rentals = 0
         self.lag = seconds(4)
@@ -92,6 +94,8 @@
         if boot is None and self.world.random.random() < self.never_boot:
             return name
         span = seconds(self.kinds[kind].boot_s * self.world.random.uniform(0.6, 1.5)) if boot is None else boot
+        if boot is None and self.world.now < self.quick_until:
+            span = seconds(self.world.random.uniform(0.2, 2.0))
         self.world.later(span, worker.boot)
         return name
 
--- a/src/gladecroft/lab/worker.py
+++ b/src/gladecroft/lab/worker.py
@@ -68,6 +68,9 @@
         self._held: list[Callable[[], None]] = []
         #: What part of its reports comes a second time, and by how many seconds at the most.
         self.copies: tuple[float, float] = (0.0, 0.0)
+        #: Told of each report that is sent; and until when it can open no connection to any controller.
+        self.keep_copy: Callable[[bytes], None] | None = None
+        self.mute_until = world.now
 
     # Life
 
@@ -205,6 +208,10 @@
             controller.ask(Verb.REPORT, body, "", reply)
 
         self.world.later(seconds(4), give_up)
+        if self.keep_copy is not None:
+            self.keep_copy(body)
+        if now < self.mute_until:
+            return
         self.world.send(self.name, controller.name, arrive)
         if self.world.random.random() < self.copies[0]:
             # A copy of the report comes to some controller, long after: nobody waits for its answer.
