An answer rests on what was read after its question

Cause: a look-up answered everyone who waited for a job, also who had asked after it was sent. Now a request answers those who had asked before it was sent; final states, which never change, answer everybody. Also: a submission that is malformed but names a job is looked up first, as a repeat of a known job may never get 400; a job read and changed again meanwhile is read again, not called unknown.

--- a/src/gladecroft/coordination/users/desk.py
+++ b/src/gladecroft/coordination/users/desk.py
@@ -21,7 +21,9 @@
 class Waiting(msgspec.Struct, eq=False):
     asked: Asked
     since: timedelta
+    #: A submission's job, or what is malformed in it.
     spec: JobSpec | None = None
+    malformed: str = ""
     tries: int = 0
 
 
--- a/src/gladecroft/coordination/users/lookups.py
+++ b/src/gladecroft/coordination/users/lookups.py
@@ -3,6 +3,9 @@
 Whether there is such a job at all is asked for many jobs at once, by a commit that only compares: so users who ask for
 jobs that nobody submitted can't use up the requests that others' questions need. Only what there is gets read, oldest
 questions first, and nothing is asked for any more once nobody waits for it.
+
+What is read answers those who had asked before it was sent, and nobody else: who asks meanwhile may have been told
+something newer elsewhere. Only final states, which never change, answer everybody.
 """
 
 from __future__ import annotations
@@ -64,8 +67,19 @@
     def _wanted(self, name: str) -> bool:
         return any(self.desk.alive(waiting) for waiting in self._waiting[name])
 
-    def _finish(self, name: str, known: bool) -> None:
-        for waiting in self._waiting.pop(name, []):
+    def _ask(self, name: str) -> list[Waiting]:
+        """Those whom the request about a job that is being sent answers: all who have asked so far."""
+        self._asking.add(name)
+        return self._waiting.pop(name)
+
+    def _put_back(self, groups: dict[str, list[Waiting]]) -> None:
+        """The request told them nothing: they wait on, before those who have come since."""
+        if groups:
+            back = {name: group + self._waiting.pop(name, []) for name, group in groups.items()}
+            self._waiting = {**back, **self._waiting}
+
+    def _finish(self, group: list[Waiting], known: bool) -> None:
+        for waiting in group:
             if self.desk.alive(waiting):
                 self._found(waiting, known)
 
@@ -87,6 +101,7 @@
             self._checking = False
             self._asking.difference_update(batch)
             if status not in (200, 409):
+                self._put_back(groups)
                 self._again()
                 return
             reply: wire.TxnReply = wire.decode(wire.TxnReply, body)
@@ -97,15 +112,18 @@
                     self._to_read[name] = keys[0]
                 else:
                     self.picture.apply(rec.job_key(name), None, reply.revision)
-                    self._finish(name, False)
+                    self._finish(groups.pop(name), False)
+            self._put_back(groups)
 
+        groups: dict[str, list[Waiting]] = {}
         conditions = [wire.Condition(key, 0) for name in batch for key in (rec.job_key(name), rec.final_key(name))]
         if self.node.state("POST", wire.COMMIT_PATH, wire.encode(wire.Txn(conditions)), then):
             self._checking, self._checked_at = True, self.node.now
-            self._asking.update(batch)
+            groups = {name: self._ask(name) for name in batch}
 
     def _read(self, name: str, key: str) -> bool:
         """Read a record that there is. A live one that is gone has just become a final one."""
+        group: list[Waiting] = []
 
         def then(status: int, body: bytes) -> None:
             self._reading -= 1
@@ -114,10 +132,13 @@
                 item: wire.Item = wire.decode(wire.Item, body)
                 if key == rec.final_key(name):
                     self.picture.note_final(name, wire.decode(rec.FinalRecord, bytes(item.value)))
+                    group.extend(self._waiting.pop(name, ()))
                 else:
                     self.picture.apply(item.key, item.value, item.version)
-                self._finish(name, True)
-            elif status == 404 and key != rec.final_key(name):
+                self._finish(group, True)
+                return
+            self._put_back({name: group})
+            if status == 404 and key != rec.final_key(name):
                 self.picture.apply(key, None, wire.decode(wire.Missing, body).revision)
                 self._to_read[name] = rec.final_key(name)
             else:
@@ -126,6 +147,6 @@
         if not self.node.state("GET", wire.key_path(key), None, then):
             return False
         del self._to_read[name]
-        self._asking.add(name)
+        group = self._ask(name)
         self._reading += 1
         return True
--- a/src/gladecroft/coordination/users/users.py
+++ b/src/gladecroft/coordination/users/users.py
@@ -66,10 +66,15 @@
         if asked.verb is Verb.SUBMIT:
             try:
                 waiting.spec = wire.parse_job(asked.body)
+                asked.job = waiting.spec.id
             except ValueError as error:
-                node.refuse(asked.number, 400, str(error))
-                return
-            asked.job = waiting.spec.id
+                # A repeated submission of a known job is never refused for good, whatever it looks like: so one that
+                # names a job is looked up first.
+                named = wire.job_named(asked.body)
+                if named is None:
+                    node.refuse(asked.number, 400, str(error))
+                    return
+                asked.job, waiting.malformed = named, str(error)
         final = self.picture.finals.get(asked.job)
         if final is not None:
             self.desk.tell_final(waiting, final)
@@ -98,9 +103,8 @@
             return
         if asked.verb is Verb.SUBMIT:
             spec = waiting.spec
-            assert spec is not None
             # A known job may have a spec that no longer fits; so it is looked up before it is judged.
-            if waiting.tries == 0 and self._judge(spec) is not None:
+            if spec is None or waiting.tries == 0 and self._judge(spec) is not None:
                 self._lookups.read(waiting)
             else:
                 self._changes.append(waiting)
@@ -219,8 +223,10 @@
 
     def _found(self, waiting: Waiting, known: bool) -> None:
         """A job's records have been read."""
-        if not (known and self._tell_known(waiting)):
+        if not known:
             self._unknown(waiting)
+        elif not self._tell_known(waiting):
+            self._lookups.read(waiting)  # it has changed again since, and the picture no longer holds it
 
     def _unknown(self, waiting: Waiting) -> None:
         """The store has no such job."""
@@ -228,7 +234,9 @@
             if self.desk.close(waiting):
                 self.node.refuse(waiting.asked.number, 404, "no such job")
             return
-        assert waiting.spec is not None
+        if waiting.spec is None:
+            self.desk.refuse(waiting, 400, waiting.malformed)
+            return
         verdict = self._judge(waiting.spec)
         if verdict is not None:
             turn = self.wait_of(waiting.spec) if self.wait_of is not None and verdict[0] == 429 else None
--- a/src/gladecroft/protocol/wire.py
+++ b/src/gladecroft/protocol/wire.py
@@ -363,6 +363,19 @@
     return spec
 
 
+class Named(msgspec.Struct, rename={"id": "nameId"}):
+    id: str
+
+
+def job_named(body: bytes) -> str | None:
+    """The job that a submission names, though it may be malformed else; None: it names none."""
+    try:
+        name: str = decode(Named, body).id
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    return name if JOB_ID.match(name) else None
+
+
 # Paths of the outside interfaces.
 SUBMIT_PATH = "/work"
 CANCEL_END = "abort"
--- /dev/null
+++ b/tests/test_looks.py
@@ -0,0 +1,179 @@
+"""No answer is older than its question: whoever asks at any controller may have been told something newer before."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+
+from gladecroft.bookkeeping import records as rec
+from gladecroft.coordination.messages import Answered, Asked, Call, Effect, Reply, Target, Verb, Watched
+from gladecroft.coordination.users.lookups import Lookups
+from gladecroft.lab.scenario import Scenario
+from gladecroft.protocol import wire
+from test_epochs import clock
+from test_fencing import SPEC, Rig
+from test_protocol import JOB
+
+KEY = "g/j/wk-9"
+
+
+class Desk:
+    """A controller that knows no job wk-9, its questions to the state service and its answers to users."""
+
+    def __init__(self) -> None:
+        rig = Rig()
+        self.core = rig.core
+        self.core.node.state_ok_at = clock(rig.at).steady
+        self.at = rig.at
+        self.replies: dict[int, Reply] = {}
+
+    def step(self, *events: Any) -> list[Call]:
+        """The questions about the job that the state service gets."""
+        self.at += 0.15
+        node = self.core.node
+        node.state_ok_at = clock(self.at).steady
+        node.requests.level = node.requests.burst
+        effects: list[Effect] = self.core.step(clock(self.at), list(events))
+        self.replies |= {effect.number: effect for effect in effects if isinstance(effect, Reply)}
+        return [
+            effect
+            for effect in effects
+            if isinstance(effect, Call)
+            and effect.target is Target.STATE
+            and (KEY.encode() in (effect.body or b"") or effect.path.endswith("wk-9"))
+        ]
+
+    def asked_after(self, *events: Any) -> Call:
+        """The one question that follows within a moment."""
+        calls = self.step(*events)
+        for _ in range(5):
+            calls += [] if calls else self.step()
+        (call,) = calls
+        return call
+
+    def ask(self, number: int, verb: Verb = Verb.POLL, body: bytes = b"") -> list[Call]:
+        return self.step(Asked(number, verb, body, "wk-9"))
+
+
+def missing(call: Call) -> Answered:
+    return Answered(call.number, 200, b'{"ledger":20}')
+
+
+def there(call: Call, *, cancelled: bool = False, version: int = 25) -> Answered:
+    if call.method == "POST":
+        return Answered(call.number, 409, msgspec.json.encode({"failed": [KEY], "ledger": version}))
+    record = rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-9"), 0, cancelled)
+    return Answered(call.number, 200, msgspec.json.encode({"key": KEY, "data": record, "stamp": version}))
+
+
+def test_who_asks_while_a_look_is_under_way_is_answered_by_a_later_one() -> None:
+    desk = Desk()
+    (look,) = desk.ask(1)
+    # Meanwhile another controller accepts the job and says so; its user asks here.
+    assert desk.ask(2) == []
+    later = desk.asked_after(missing(look))
+    assert desk.replies[1].status == 404 and 2 not in desk.replies
+    read = desk.asked_after(there(later))
+    # The same while its record is read: it is cancelled elsewhere meanwhile, and the user asks again.
+    assert desk.ask(3) == []
+    later = desk.asked_after(there(read))
+    assert b"queued" in desk.replies[2].body and 3 not in desk.replies
+    read = desk.asked_after(there(later))
+    desk.step(there(read, cancelled=True, version=26))
+    assert b"aborted" in desk.replies[3].body
+
+
+def test_whose_look_failed_waits_on_with_those_who_came_since() -> None:
+    desk = Desk()
+    (look,) = desk.ask(1)
+    desk.ask(2)
+    later = desk.asked_after(Answered(look.number, 0))
+    desk.step(missing(later))
+    assert {number: reply.status for number, reply in desk.replies.items()} == {1: 404, 2: 404}
+
+
+def test_a_final_state_answers_everybody() -> None:
+    desk = Desk()
+    (look,) = desk.ask(1)
+    (read,) = desk.step(Answered(look.number, 409, b'{"failed":["g/f/wk-9"],"ledger":20}'))
+    desk.ask(2)
+    final = msgspec.json.encode({"key": "g/f/wk-9", "data": rec.FinalRecord(True, 1, ""), "stamp": 20})
+    desk.step(Answered(read.number, 200, final))
+    assert all(b"done" in desk.replies[number].body for number in (1, 2))
+
+
+CLOSE = """
+nodes 3
+team t cpus=40 max=64
+type g16 cpus=16 memory=64 boot=5
+up g16 count=4
+at 2 close-looks for=60 cancels=0.3
+at 2 slow-state by=0.4 for=60
+at 2 slow-watch by=1.5 for=60
+"""
+
+
+def close(seed: int) -> str:
+    """Close looks while the state service and its watches are slow, and a controller ends."""
+    drawn = random.Random(seed)
+    lines = [CLOSE]
+    for number in range(1, 4):
+        at = drawn.uniform(4, 40)
+        lines += [f"at {at - 1:.1f} ask wk-{number} times=25", f"at {at:.1f} submit wk-{number} team=t run=4 times=25"]
+    lines.append(f"at {drawn.uniform(10, 50):.1f} crash {drawn.choice(['leader', 'follower'])} for=1")
+    return "\n".join([*lines, "run 75"])
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_close_looks_find_nothing_older(seed: int) -> None:
+    scenario = Scenario(close(seed), seed).run()
+    assert scenario.oracle.broken == [], close(seed)
+    asked = sum(len(user.answers) for user in scenario.users.values())
+    assert asked > 1000 and len(scenario.oracle.accepted) == 75
+
+
+def test_answered_by_looks_that_were_under_way_close_looks_find_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    finish = Lookups._finish
+
+    def everybody(self: Lookups, group: list[Any], known: bool) -> None:
+        names = {waiting.asked.job for waiting in group}
+        finish(self, group + [late for name in names for late in self._waiting.pop(name, [])], known)
+
+    monkeypatch.setattr(Lookups, "_finish", everybody)
+    broken = [text for seed in range(8) for text in Scenario(close(seed), seed).run().oracle.broken]
+    assert any(text.startswith(("went_back", "forgotten")) for text in broken)
+
+
+ODD: list[dict[str, Any]] = [{"cores": None}, {"cores": "1"}, {"portions": 0}, {"owner": None}, {"shape": "gang"}]
+
+
+@pytest.mark.parametrize("change", ODD)
+def test_a_malformed_submission_is_refused_unless_it_names_a_known_job(change: dict[str, Any]) -> None:
+    body = msgspec.json.encode({**JOB, "nameId": "wk-9", "owner": "t", **change})
+    desk = Desk()
+    (look,) = desk.ask(1, Verb.SUBMIT, body)
+    desk.step(missing(look))
+    assert desk.replies[1].status == 400
+    desk = Desk()
+    (look,) = desk.ask(1, Verb.SUBMIT, body)
+    (read,) = desk.step(there(look))
+    desk.step(there(read))
+    # 400 or 422 for a repeated submission counts as forgotten.
+    assert desk.replies[1].status == 200 and b"queued" in desk.replies[1].body
+
+
+def test_what_can_never_run_is_refused_and_its_repeat_where_it_is_known_is_not() -> None:
+    body = msgspec.json.encode({**JOB, "nameId": "wk-9", "owner": "nobody"})
+    desk = Desk()
+    (look,) = desk.ask(1, Verb.SUBMIT, body)
+    desk.step(missing(look))
+    assert desk.replies[1].status == 422
+    news = wire.WatchReply(30, [wire.LogEntry(30, KEY, None, msgspec.Raw(msgspec.json.encode(
+        rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-9"), 0))))])  # fmt: skip
+    desk.step(Watched(news))
+    confirm = desk.asked_after(Asked(2, Verb.SUBMIT, body, "wk-9"))
+    desk.step(Answered(confirm.number, 200, b'{"ledger":31}'))
+    assert desk.replies[2].status == 200
