Ends are gathered by chunk, not by job

Cause: an end that comes alone had all ends of its job gathered anew and all of them compared with the records; the largest array has 80 chunks. Now only the end's own chunk is; a changed chunk has its own ends looked at. What is committed is the same. Seen: the new test fails on the sources before (other chunks are gathered anew).

--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -77,8 +77,9 @@
         self.waiting = Waiting()
         #: Jobs of which the order of waiting work has not taken notice yet; counts how often all began anew.
         self.requeued: set[str] = set()
-        #: Jobs whose tasks changed, or that are no more, since the ends known ahead of the records were last looked at.
-        self.chunk_news: set[str] = set()
+        #: The chunks (a job's name, the chunk's number) that changed since the ends known ahead of the records were
+        #: last looked at; of jobs that are no more, any.
+        self.chunk_news: set[tuple[str, int]] = set()
         self.resets += 1
         #: Attempts that this controller knows to have ended, though the records don't say so yet. They take no room.
         self.ended: dict[TaskKey, int] = {}
@@ -229,7 +230,7 @@
         if job is None:
             return
         self.requeued.add(name)
-        self.chunk_news.add(name)
+        self.chunk_news.add((name, 0))
         self.waiting.forget(job)
         self._guarantees.forget(job)
         if name in self.gangs:
@@ -256,7 +257,7 @@
             return
         if chunk is not None and len(chunk) != job.chunk_length(index):
             raise ValueError("a chunk has the wrong length")
-        self.chunk_news.add(name)
+        self.chunk_news.add((name, index))
         base = index * self.size
         old = job.chunks.get(index)
         occupied = job.occupied
--- a/src/gladecroft/coordination/ledger/ends.py
+++ b/src/gladecroft/coordination/ledger/ends.py
@@ -26,6 +26,8 @@
 
 #: A job's name, the task's number, the attempt.
 AttemptKey = tuple[str, int, int]
+#: A job's name and the number of its chunk.
+Chunk = tuple[str, int]
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -52,11 +54,12 @@
         self.membership = membership
         self.exits: dict[AttemptKey, Outcome] = {}
         self.since: dict[AttemptKey, timedelta] = {}
-        #: The same ends by job, what of that has been gathered by chunk, and the jobs that have new ones. While changes
-        #: are short thousands wait; all looked at in each round, they took a seventh of the core's time.
-        self._of_job: dict[str, dict[AttemptKey, Outcome]] = {}
-        self._gathered: dict[str, dict[int, Gathered]] = {}
-        self._news: set[str] = set()
+        #: The same ends by job and chunk, what of that has been gathered, and the chunks that have new ones. While
+        #: changes are short thousands wait; all looked at in each round, they took a seventh of the core's time, and of
+        #: a job with many chunks all were gathered anew for each end.
+        self._of_job: dict[str, dict[int, dict[AttemptKey, Outcome]]] = {}
+        self._gathered: dict[Chunk, Gathered] = {}
+        self._news: set[Chunk] = set()
         #: Machines that the cloud has taken back by this controller's request: their attempts are gone for good.
         self.gone: dict[str, None] = {}
         #: Machines of which some sibling could long not be told.
@@ -74,9 +77,10 @@
         if key not in self.exits:
             self.exits[key] = outcome
             self.since[key] = self.node.now
-            self._of_job.setdefault(job, {})[key] = outcome
-            self._gathered.pop(job, None)
-            self._news.add(job)
+            index = number // self.picture.size
+            self._of_job.setdefault(job, {}).setdefault(index, {})[key] = outcome
+            self._gathered.pop((job, index), None)
+            self._news.add((job, index))
             self.picture.end((job, number), attempt)
             if outcome.note.startswith(LOST):
                 # The machine's record may say so only later. Placed there meanwhile, a task would be lost at once.
@@ -85,46 +89,54 @@
     def settle(self, key: tuple[str, int, int]) -> None:
         del self.exits[key]
         del self.since[key]
+        index = key[1] // self.picture.size
         of_job = self._of_job[key[0]]
-        del of_job[key]
+        del of_job[index][key]
+        if not of_job[index]:
+            del of_job[index]
         if not of_job:
             del self._of_job[key[0]]
-        self._gathered.pop(key[0], None)
+        self._gathered.pop((key[0], index), None)
         self.picture.end(key[:2], None)
         self._told.pop(key, None)
         self._with_home.discard(key)
 
-    def by_chunk(self) -> dict[tuple[str, int], Gathered]:
+    def _known_of(self, job: str) -> list[tuple[AttemptKey, Outcome]]:
+        """All ends of a job that are known ahead of the records."""
+        return [end for chunk in self._of_job.get(job, {}).values() for end in chunk.items()]
+
+    def by_chunk(self) -> dict[Chunk, Gathered]:
         """The ends to be noted here, by job and chunk, the most pressing first; what the records tell is settled."""
         news = self._news | self.picture.chunk_news
         self._news.clear()
         self.picture.chunk_news.clear()
-        for name in news & self._of_job.keys():
+        for name, index in news:
+            chunks = self._of_job.get(name, {})
             job = self.picture.jobs.get(name)
-            for key in list(self._of_job[name]):
-                task = None if job is None else job.task(key[1])
-                if task is None or not task.machine or task.attempt != key[2]:
-                    self.settle(key)
+            # Of a job that is no more, all.
+            for each in list(chunks) if job is None else [index]:
+                for key in list(chunks.get(each, ())):
+                    task = None if job is None else job.task(key[1])
+                    if task is None or not task.machine or task.attempt != key[2]:
+                        self.settle(key)
         groups = {
-            (name, index): gathered
-            for name in self._of_job
+            (name, index): self._gather(job, index)
+            for name, chunks in self._of_job.items()
             if (job := self.picture.jobs.get(name)) is not None and not self.left_to_home(job)
-            for index, gathered in self._gather(job).items()
+            for index in chunks
         }
         return dict(sorted(groups.items(), key=lambda group: group[1].since))
 
-    def _gather(self, job: Job) -> dict[int, Gathered]:
-        gathered = self._gathered.get(job.id)
+    def _gather(self, job: Job, index: int) -> Gathered:
+        gathered = self._gathered.get((job.id, index))
         if gathered is None:
-            gathered = self._gathered[job.id] = {}
-            for key, outcome in self._of_job[job.id].items():
+            ends = self._of_job[job.id][index]
+            gathered = self._gathered[job.id, index] = Gathered(self.since[next(iter(ends))])
+            for key, outcome in ends.items():
                 _, number, attempt = key
-                group = gathered.get(number // job.size)
-                if group is None:
-                    group = gathered[number // job.size] = Gathered(self.since[key])
-                group.ends.append((number, attempt, outcome))
-                group.done += outcome.done
-                group.machines.add(job.task(number).machine)
+                gathered.ends.append((number, attempt, outcome))
+                gathered.done += outcome.done
+                gathered.machines.add(job.task(number).machine)
         return gathered
 
     def epoch_changed(self, continuous: bool) -> None:
@@ -153,13 +165,13 @@
         self._told_at = node.now
         self._read_mail(epoch.number)
         batches: dict[str, list[peers.EndedAttempt]] = {}
-        for name, ended in self._of_job.items():
+        for name in self._of_job:
             job = self.picture.jobs.get(name)
             home = None if job is None else self.membership.job_home(job.spec)
             if home is None or home == node.name:
                 continue
             batch = batches.setdefault(home, [])
-            for key, outcome in ended.items():
+            for key, outcome in self._known_of(name):
                 if len(batch) >= peers.MOST_ENDED:
                     break
                 last = self._told.get(key)
@@ -233,9 +245,9 @@
         heard: list[peers.HeardMachine] = []
         others = [
             (key, outcome)
-            for name, of_job in self._of_job.items()
+            for name in self._of_job
             if (job := self.picture.jobs.get(name)) is not None and self.left_to_home(job)
-            for key, outcome in of_job.items()
+            for key, outcome in self._known_of(name)
         ]
         for key, outcome in others:
             if key in self._with_home or node.now - self.since[key] < TELL_IN_VAIN:
--- a/tests/test_page.py
+++ b/tests/test_page.py
@@ -190,7 +190,8 @@
     drawn = random.Random(seed)
     lines = [
         "nodes 3", "set machine.idle=3600", "team t cpus=16 max=64", "team u cpus=8 max=0",
-        "type g16 cpus=16 memory=64 boot=8 zones=a count=3 spot=0", f"at 1 slow-links by={drawn.choice([0.1, 0.4])} for=230",
+        "type g16 cpus=16 memory=64 boot=8 zones=a count=3 spot=0",
+        f"at 1 slow-links by={drawn.choice([0.1, 0.4])} for=230",
     ]  # fmt: skip
     for wave in range(17):
         lines.append(f"at {1 + 15 * wave} submit wk-{wave}1 team=u tasks=3 cpus=2 memory=2 run=10 times=10")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -241,6 +241,35 @@
     assert not [op for op in ops if op.get("write") == "g/p/wk-2/0"]
 
 
+def test_an_end_has_its_own_chunk_gathered_anew_and_no_other() -> None:
+    rig = Rig()
+    picture, ends = rig.core.node.picture, rig.core.ledger.ends
+    size = picture.size
+    spec = msgspec.structs.replace(SPEC, id="wk-2", kind=wire.Kind.ARRAY, tasks=3 * size)
+    rig.put(rec.EPOCH, rec.EpochRecord(2, "n0", {"n0": 7, "n1": 8}, {"m-1": "n0"}))
+    rig.put("g/j/wk-2", rec.JobRecord(spec, 0))
+    rig.step([])
+    rig.core.membership.parts.homes["t"] = "n0"
+    rows = [TaskRecord(TaskState.ACTIVE, 1, "m-1")] * size
+    for index in range(3):
+        rig.put(f"g/p/wk-2/{index}", rec.ChunkRecord(rows))
+    for number in (0, 1, size, 2 * size):
+        ends.exit("wk-2", number, 1, Outcome(True))
+    before = ends.by_chunk()
+    assert [len(before["wk-2", index].ends) for index in range(3)] == [2, 1, 1]
+    ends.exit("wk-2", size + 1, 1, Outcome(False, "stopped"))
+    after = ends.by_chunk()
+    # A whole job's ends were gathered anew for each, 25,000 of the largest array's.
+    assert [after["wk-2", index] is before["wk-2", index] for index in range(3)] == [True, False, True]
+    assert len(after["wk-2", 1].ends) == 2 and after["wk-2", 1].done == 1
+    # What the records tell is settled, and only that chunk is looked at.
+    rig.put("g/p/wk-2/0", rec.ChunkRecord([TaskRecord(TaskState.DONE, 1)] + rows[1:]))
+    assert len(ends.by_chunk()["wk-2", 0].ends) == 1
+    rig.revision += 1
+    picture.apply("g/j/wk-2", None, rig.revision)
+    assert ends.by_chunk() == {} and not ends.exits
+
+
 def test_ends_are_noted_at_once_only_for_teams_whose_limit_holds_their_work_up() -> None:
     rig = Rig()
     core = rig.core
