--- a/tests/test_news_meet.py
+++ b/tests/test_news_meet.py
@@ -5,6 +5,8 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -291,6 +293,17 @@
     assert "ran_twice" in found(MUTE, 2)
 
 
+@pytest.mark.parametrize("draw,seed", [(quick, 0), (copies, 1), (mute, 1)], ids=["quick", "copies", "mute"])
+def test_without_waiting_for_the_lease_the_drawn_histories_find_it(
+    draw: Callable[[int], str], seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def soon(keeper: Keeper, machine: Machine) -> timedelta:
+        return (machine.answered_at or machine.owner_since) + timedelta(seconds=1)
+
+    monkeypatch.setattr(Keeper, "gone_at", soon)
+    assert "ran_twice" in found(draw(seed), seed)
+
+
 # Small jobs without end -------------------------------------------------------------------------------------------
 
 #: Four one-task jobs a second; a quarter of them is cancelled, waiting or running.
