Tests, red: copies of a dead machine's reports move it and cost an epoch

Two copies 4 s apart at a controller that does not own the machine pass for its coming back from its owner (Visits._move_if_it_hears), so it moves without being asked whether it hears. Not mended here.

--- a/tests/test_news_meet.py
+++ b/tests/test_news_meet.py
@@ -20,12 +20,14 @@
 from gladecroft.coordination.keeper.keeper import Keeper
 from gladecroft.coordination.keeper.machine import Machine, TaskKey
 from gladecroft.coordination.membership import Membership
-from gladecroft.coordination.messages import Asked, Verb
+from gladecroft.coordination.messages import Answered, Asked, Call, Verb
 from gladecroft.lab.growth import Costs, watch_controller
 from gladecroft.lab.scenario import Scenario
 from gladecroft.lab.user import User
 from gladecroft.lab.world import seconds
+from gladecroft.protocol import peers, wire
 from gladecroft.protocol.wire import Command, Op, Report
+from test_epochs import clock
 from test_fencing import Rig
 
 BASE = 1 << 24  # the tokens of epoch 1 begin here
@@ -233,6 +235,28 @@
     assert {"answered", "answered_at", "heard_at"} <= changed()
 
 
+def test_copies_of_a_dead_machines_reports_cost_no_epoch() -> None:
+    """Two copies, 4 s apart, of a machine that its owner does not hear: it is asked itself whether it hears, and does
+    not answer. The second looks like one that was sent to its owner in vain."""
+    rig = Rig()
+    rig.put(rec.EPOCH, rec.EpochRecord(2, "n1", {"n0": 7, "n1": 8}, {"m-1": "n1"}))
+    for _ in range(30):
+        rig.step([])
+
+    def step(events: list[Any]) -> None:
+        rig.at += 0.1
+        for effect in rig.core.step(clock(rig.at), events):
+            if isinstance(effect, Call) and effect.path == peers.HEARS_PATH:
+                step([Answered(effect.number, 200, wire.encode(peers.Names([])))])
+
+    for seq in (5, 6):
+        rig.number, rig.token, rig.seq = seq, BASE - 1, seq
+        step([Asked(seq, Verb.REPORT, rig.report())])
+        for _ in range(40):
+            step([])
+        assert rig.core.membership._wanted_moves == {}, seq
+
+
 # Workers reach no controller while direct commands reach them -----------------------------------------------------
 
 
