A machine moves only if it answers whoever it visits

Cause: one that came back from its owner within 6.5 s counted as one that had been sent there in vain. Now the machine itself is always asked; the shortcut and what it kept are gone.

--- a/src/gladecroft/coordination/keeper/visits.py
+++ b/src/gladecroft/coordination/keeper/visits.py
@@ -23,8 +23,6 @@
 MOVE_LIMIT = timedelta(seconds=2.5)
 #: At most so many machines are asked at a time whether they hear this controller.
 PROBES = 32
-#: Who hears its answers comes back from an owner that it can't reach within this: 4 s for an answer, and 1 s.
-BACK_WITHIN = timedelta(seconds=6.5)
 #: So many machines of one owner that it does not hear, within the time that all take to turn up elsewhere, speak of a
 #: fault that they share.
 SHARED = 3
@@ -47,8 +45,6 @@
         self._machines = machines
         self._reported = reported
         self._bounced: dict[str, timedelta] = {}
-        #: When each was last answered here with its owner's name.
-        self._sent_back: dict[str, timedelta] = {}
         #: Machines that are to be asked whether they hear this controller, with their addresses, and those that are
         #: asked.
         self._to_probe: dict[str, str] = {}
@@ -71,8 +67,6 @@
                 self.owners[name] = (owner, self.node.now)
         for name in [name for name in self.owners if name not in owners]:
             del self.owners[name]
-        for name in [name for name in self._sent_back if name not in owners]:
-            del self._sent_back[name]
         self._to_probe.clear()
 
     def visited(self, asked: Asked, machine: str, owner: str | None, addr: str = "") -> None:
@@ -81,14 +75,12 @@
         if owner is not None and self.bounce(machine, owner, addr):
             before = self._moving.get(machine)
             if before is not None:
-                self._send_back(machine, before[0], owner)
+                self._send_back(before[0], owner)
             self._moving[machine] = (asked, self.node.now + MOVE_LIMIT)
         else:
-            self._send_back(machine, asked, owner)
+            self._send_back(asked, owner)
 
-    def _send_back(self, machine: str, asked: Asked, owner: str | None) -> None:
-        if machine in self.picture.machines:
-            self._sent_back[machine] = self.node.now
+    def _send_back(self, asked: Asked, owner: str | None) -> None:
         self.node.reply(asked.number, 421, wire.encode(Steward(owner)))
 
     def bounce(self, name: str, owner: str, addr: str = "") -> bool:
@@ -175,18 +167,14 @@
                 to_ask[name] = None
 
     def _move_if_it_hears(self, name: str) -> None:
-        """A machine that its owner does not hear moves here if it hears this controller.
+        """A machine that its owner does not hear moves here if it hears this controller: if it answers.
 
         Else it may be deaf to all: it goes from one controller to the next, and moved at each step it cost an epoch
-        every few seconds and was never given up.
+        every few seconds and was never given up. That it comes back from its owner proves nothing: copies of a dead
+        machine's reports do so too, and each pair of them moved it.
         """
         known = self.picture.machines.get(name)
-        sent_back = self._sent_back.get(name)
-        kept = self._moving.get(name)
-        came = self.node.now if kept is None else kept[1] - MOVE_LIMIT
-        if sent_back is not None and sent_back < came <= sent_back + BACK_WITHIN:
-            self._move(name)  # as one does that was sent to its owner in vain
-        elif known is not None and known.addr:
+        if known is not None and known.addr:
             self._to_probe[name] = known.addr
 
     def _move(self, name: str) -> None:
@@ -237,4 +225,4 @@
                 self._reported(asked)
             elif self.node.now >= until:
                 del self._moving[name]
-                self._send_back(name, asked, owner)
+                self._send_back(asked, owner)
