What is asked of every machine in each of the leader's rounds is kept

The highest rank on a machine is kept with its use (each round built every machine's residents twice), and bins that hold nothing of a job are passed by without a call. Decisions are the same.

--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -24,6 +24,8 @@
 
 #: Final states kept in memory; older ones are read from the store when asked for.
 FINALS_KEPT = 5_000
+#: Stands for the rank of work where there is none: below every priority.
+NOBODY = 1 << 30
 
 
 class Picture:
@@ -86,6 +88,8 @@
         #: Machines that have lost their work and of which no record or owner has said anything since.
         self.doubted: set[str] = set()
         self._used: dict[str, tuple[float, float, float]] = {}
+        #: The rank of the highest priority on each machine for which the use is known.
+        self._top_rank: dict[str, int] = {}
         self._team_use = TeamUse()
         self._versions = Versions()
         self._orphans: dict[str, dict[int, tuple[list[rec.TaskRecord], int]]] = {}
@@ -332,14 +336,23 @@
         used = self._used.get(machine)
         if used is None:
             cpus = gpus = memory = 0.0
+            top = NOBODY
             for (job_id, _), _ in self.residents(machine):
-                spec = self.jobs[job_id].spec
-                cpus += spec.cpus
-                gpus += spec.gpus
-                memory += spec.memory_gb
+                job = self.jobs[job_id]
+                cpus += job.spec.cpus
+                gpus += job.spec.gpus
+                memory += job.spec.memory_gb
+                top = min(top, job.rank)
             used = self._used[machine] = cpus, gpus, memory
+            self._top_rank[machine] = top
         return used
 
+    def top_rank_on(self, machine: str) -> int:
+        """The rank of the highest priority that takes room on a machine; ``NOBODY``: nothing does. Asked of every
+        machine in each round, so it is kept with the use."""
+        self.used_on(machine)
+        return self._top_rank[machine]
+
     def never_runs(self, spec: JobSpec) -> str | None:
         """Why the job is more than its team's limit allows for good, or None."""
         return never_runs(self.limits, spec)
--- a/src/gladecroft/coordination/fleet/fleet.py
+++ b/src/gladecroft/coordination/fleet/fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.picture import NOBODY
 from gladecroft.bookkeeping.records import MachineRecord, MachineSort, MachineUse
 from gladecroft.coordination.admission.shares import Amounts
 from gladecroft.coordination.fleet.market import Market
@@ -165,9 +166,7 @@
                     kind.gpus - gpus,
                     kind.memory_gb - memory,
                     name,
-                    any(
-                        self.picture.jobs[job].rank <= self.placers.line for (job, _), _ in self.picture.residents(name)
-                    ),
+                    self.picture.top_rank_on(name) <= self.placers.line,
                 )
             )
         for coming in self.market.coming.values():
@@ -233,7 +232,7 @@
             # What takes nothing new is no reserve for what comes.
             room = 0.0 if self._shut(name, record.sort) else kind.cpus
             free += room - cpus if room else 0.0
-            if self.picture.residents(name) or name in needed:
+            if self.picture.top_rank_on(name) != NOBODY or name in needed:
                 self._idle_since.pop(name, None)
                 continue
             since = self._idle_since.setdefault(name, now)
--- a/src/gladecroft/coordination/fleet/plan.py
+++ b/src/gladecroft/coordination/fleet/plan.py
@@ -157,6 +157,7 @@
     ) -> int:
         """Fill what is up or coming; how many tasks are left then."""
         spec = job.spec
+        cpus, gpus, memory = spec.cpus, spec.gpus, spec.memory_gb
         for sort, bins in self.room.sorts.items():
             if only is not None and sort[1] != only:
                 continue
@@ -164,6 +165,9 @@
                 continue
             used_up = False
             for bin in bins:
+                # Most hold nothing of it; said here before calls are spent on each.
+                if bin.cpus + 1e-6 < cpus > 0 or bin.memory + 1e-6 < memory > 0 or bin.gpus + 1e-6 < gpus > 0:
+                    continue
                 if self.terms.lets is not None and not self.terms.lets(job, bin.machine, sort):
                     continue
                 count = min(left, bin.holds(job), cap - zones.get(sort[1], 0))
