A machine is held back for a lease at the most when its loss was told

Cause: a home doubts a machine on which work was lost until a record or its owner tells of it again. A doubt now ends by itself after a lease; what the leader is giving back is held back while it asks, and a lease more.

--- a/src/gladecroft/bookkeeping/picture.py
+++ b/src/gladecroft/bookkeeping/picture.py
@@ -8,7 +8,8 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from datetime import timedelta
 
 import msgspec
 
@@ -85,8 +86,9 @@
         self.resets += 1
         #: Attempts that this controller knows to have ended, though the records don't say so yet. They take no room.
         self.ended: dict[TaskKey, int] = {}
-        #: Machines that have lost their work and of which no record or owner has said anything since.
-        self.doubted: set[str] = set()
+        #: Machines that have lost their work and of which no record or owner has said anything since; by the steady
+        #: clock, until when that holds them back.
+        self.doubted: dict[str, timedelta] = {}
         self._used: dict[str, tuple[float, float, float]] = {}
         #: The rank of the highest priority on each machine for which the use is known.
         self._top_rank: dict[str, int] = {}
@@ -128,7 +130,7 @@
                 self.teams[team] = rec.TeamRecord() if value is None else decode(rec.TeamRecord, value)
         elif kind == rec.MACHINES:
             self.heard.pop(name, None)
-            self.doubted.discard(name)
+            self.doubted.pop(name, None)
             self.aside.pop(name, None)
             self.clearing.pop(name, None)
             if value is None:
@@ -161,14 +163,28 @@
             self.epoch = None if value is None else decode(rec.EpochRecord, value)
             self.epoch_version = version
 
+    def doubt(self, names: Iterable[str], until: timedelta) -> None:
+        """Place nothing on some machines until then, unless a record or their owner tells of them before.
+
+        It ends by itself: what an owner has told of a machine that is back may have come before the word of what was
+        lost on it, and nothing more ever comes. Held back for good, it kept a service waiting for as long as it ran.
+        """
+        for name in names:
+            self.doubted[name] = until
+            self.stale.add(name)
+
+    def end_doubts(self, now: timedelta) -> None:
+        for name in [name for name, until in self.doubted.items() if now >= until]:
+            del self.doubted[name]
+            self.stale.add(name)
+
     def hear(self, name: str, record: rec.MachineRecord) -> None:
         """Take in a machine that has reported somewhere.
 
         A machine that is simply up needs no record: its owner tells the others of it. A record is written when there is
         more to say, and counts before what was heard.
         """
-        if name in self.doubted:
-            self.doubted.discard(name)
+        if self.doubted.pop(name, None) is not None:
             self.stale.add(name)
         if name not in self.machines and not self.buried(name):
             self.heard[name] = self.machines[name] = record
@@ -180,7 +196,7 @@
         if self.heard.pop(name, None) is not None:
             self.machines.pop(name, None)
             self._versions.bury(rec.machine_key(name), self.revision)
-        self.doubted.discard(name)
+        self.doubted.pop(name, None)
         self.touched.add(name)
         self.stale.add(name)
 
--- a/src/gladecroft/coordination/fleet/market.py
+++ b/src/gladecroft/coordination/fleet/market.py
@@ -10,7 +10,7 @@
 from gladecroft.bookkeeping.records import MachineSort
 from gladecroft.coordination.keeper import Keeper
 from gladecroft.coordination.membership import Membership
-from gladecroft.coordination.node import Node
+from gladecroft.coordination.node import CLOUD_LIMIT, Node
 from gladecroft.coordination.placers.floor import Floor
 from gladecroft.protocol import wire
 from gladecroft.protocol.wire import ListedMachine, MachineType
@@ -206,9 +206,9 @@
         def then(status: int, body: bytes) -> None:
             self._returning.difference_update(names)
             if status != 0:
-                # If it is not known whether they are gone, nothing is placed there until another try has told.
-                self.picture.doubted.difference_update(names)
-                self.picture.stale.update(names)
+                # If it is not known whether they are gone, nothing is placed there until another try has told, or for a
+                # lease: who leads no more tries no more.
+                self.picture.doubt(names, self.node.now)
             if status == 200:
                 self.keeper.heralds.tell_gone([name for name in names if name in self.picture.heard])
                 for name in names:
@@ -220,5 +220,4 @@
         if self.node.cloud("POST", wire.RETURN_PATH, wire.encode(wire.MachineNames(names)), then):
             self._returning.update(names)
             # Nothing is to be placed there meanwhile.
-            self.picture.doubted.update(names)
-            self.picture.stale.update(names)
+            self.picture.doubt(names, self.node.now + CLOUD_LIMIT + self.node.lease)
--- a/src/gladecroft/coordination/ledger/ends.py
+++ b/src/gladecroft/coordination/ledger/ends.py
@@ -84,7 +84,7 @@
             self.picture.end((job, number), attempt)
             if outcome.note.startswith(LOST):
                 # The machine's record may say so only later. Placed there meanwhile, a task would be lost at once.
-                self.picture.doubted.add(outcome.note.removeprefix(LOST))
+                self.picture.doubt([outcome.note.removeprefix(LOST)], self.node.now + self.node.lease)
 
     def settle(self, key: tuple[str, int, int]) -> None:
         del self.exits[key]
--- a/src/gladecroft/coordination/placers/floor.py
+++ b/src/gladecroft/coordination/placers/floor.py
@@ -21,6 +21,7 @@
     """Slots of the machines that may be offered: in use and, in our own part, heard in this epoch."""
 
     def __init__(self, node: Node, membership: Membership, keeper: Keeper, ledger: Ledger, line: int) -> None:
+        self.node = node
         self.picture = node.picture
         self.name = node.name
         self.membership = membership
@@ -48,6 +49,7 @@
     def refresh(self, guaranteed: set[str]) -> None:
         """Bring the slots of machines up to date that have changed or that the last round planned on."""
         self.refusals.clear()
+        self.picture.end_doubts(self.node.now)
         stale, self.picture.stale = self.picture.stale, set()
         self._looked += len(stale)
         for name in sorted(stale):
--- a/tests/test_page.py
+++ b/tests/test_page.py
@@ -10,13 +10,17 @@
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.change import Change
 from gladecroft.bookkeeping.job import Job
+from gladecroft.bookkeeping.picture import Picture
+from gladecroft.bookkeeping.records import TaskState
 from gladecroft.coordination.consent import Consent
+from gladecroft.coordination.ledger import LOST, Outcome
 from gladecroft.coordination.ledger.closing import Closing
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.placers import gangs, placers
 from gladecroft.coordination.placers.queue import Queue
 from gladecroft.lab.scenario import Scenario
-from gladecroft.protocol import peers
+from gladecroft.protocol import peers, wire
+from test_fencing import Rig
 
 FLEET = """
 set machine.consolidate=false
@@ -212,3 +216,32 @@
 def test_without_a_turn_for_what_has_waited_the_largest_does_not_begin(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Queue, "overdue", lambda self, job: False)
     assert found("wk-7777", too_much, range(3))
+
+
+# Machines that lost their work and are back.
+
+
+def test_a_machine_is_held_back_for_a_lease_at_the_most_if_its_owner_tells_nothing_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def offered() -> list[bool]:
+        rig = Rig()
+        picture, floor = rig.core.node.picture, rig.core.placers.floor
+        floor.set_types({"g": wire.MachineType("g", 16.0, 64.0, 1.0, 0.5, 30.0, ["a"])})
+        rig.put(rec.EPOCH, rec.EpochRecord(2, "n1", {"n0": 7, "n1": 8}, {"m-1": "n1"}))
+        rig.step([])
+        rig.place(TaskState.ACTIVE)
+        # The owner has told that the machine is back; only then comes its word of what was lost there.
+        rig.core.ledger.exit("wk-1", 0, 1, Outcome(False, f"{LOST}m-1"))
+        seen = []
+        for _ in range(40):
+            rig.step([])
+            floor.refresh(picture.guaranteed())
+            seen.append("m-1" in floor.slots)
+        return seen
+
+    seen = offered()
+    lease = Rig().core.node.lease.total_seconds()
+    assert not any(seen[: int(lease / 0.6) - 2]) and seen[-1]
+    monkeypatch.setattr(Picture, "end_doubts", lambda self, now: None)
+    assert not any(offered())
