A known job that has changed is read at once

What the picture knows is there, live or final: it is read at once, and a final state that the watch has brought meanwhile is told. One request less, never one more. Seen: the new test fails before.

--- a/src/gladecroft/coordination/users/lookups.py
+++ b/src/gladecroft/coordination/users/lookups.py
@@ -45,9 +45,12 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def read(self, waiting: Waiting) -> None:
-        """Have a request's job looked up; ``flush``, which ends every step, asks for many at once."""
+    def read(self, waiting: Waiting, there: bool = False) -> None:
+        """Have a request's job looked up; ``flush``, which ends every step, asks for many at once. ``there``: it is
+        known that there is such a job, so it is read without asking for that first."""
         self._waiting.setdefault(waiting.asked.job, []).append(waiting)
+        if there:
+            self._to_read.setdefault(waiting.asked.job, rec.job_key(waiting.asked.job))
 
     def flush(self) -> None:
         if not self._waiting or self.node.now < self._not_before:
@@ -57,6 +60,8 @@
             # out.
             del self._waiting[name]
             self._to_read.pop(name, None)
+        for name in [name for name in self._to_read if name not in self._waiting]:
+            del self._to_read[name]  # a final state has answered all meanwhile
         for name in list(self._to_read):
             if self._reading >= READS_AT_ONCE or not self._read(name, self._to_read[name]):
                 break
--- a/src/gladecroft/coordination/users/users.py
+++ b/src/gladecroft/coordination/users/users.py
@@ -202,9 +202,11 @@
                 self._put_back(batch)
                 return
             for name, group in batch.items():
+                # What has changed is there still, live or final; the watch may have brought its final state by now.
+                known = rec.job_key(name) not in failed or name in self.picture.finals
                 for waiting in group:
-                    if rec.job_key(name) in failed or not self._tell_known(waiting):
-                        self._lookups.read(waiting)
+                    if not known or not self._tell_known(waiting):
+                        self._lookups.read(waiting, there=True)
 
         # Before lookups and what is to be changed: those who ask about known jobs are served whatever else is asked
         # for.
@@ -226,7 +228,7 @@
         if not known:
             self._unknown(waiting)
         elif not self._tell_known(waiting):
-            self._lookups.read(waiting)  # it has changed again since, and the picture no longer holds it
+            self._lookups.read(waiting, there=True)  # it has changed again since, and the picture no longer holds it
 
     def _unknown(self, waiting: Waiting) -> None:
         """The store has no such job."""
--- a/tests/test_looks.py
+++ b/tests/test_looks.py
@@ -105,6 +105,30 @@
     assert all(b"done" in desk.replies[number].body for number in (1, 2))
 
 
+def news(record: rec.JobRecord, version: int) -> Watched:
+    value = msgspec.Raw(msgspec.json.encode(record))
+    return Watched(wire.WatchReply(version, [wire.LogEntry(version, KEY, None, value)]))
+
+
+def test_a_job_that_has_changed_is_read_without_asking_first_whether_it_is_there() -> None:
+    desk = Desk()
+    desk.step(news(rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-9"), 0), 30))
+    confirm = desk.asked_after(Asked(1, Verb.POLL, b"", "wk-9"))
+    # The watch lags: the record is another one now. One request more tells, where it took two.
+    read = desk.asked_after(Answered(confirm.number, 409, msgspec.json.encode({"failed": [KEY], "ledger": 40})))
+    assert (read.method, read.path) == ("GET", wire.key_path(KEY))
+    desk.step(there(read, cancelled=True, version=40))
+    assert b"aborted" in desk.replies[1].body
+    # Its final state has come by the watch meanwhile: nothing more is asked.
+    desk = Desk()
+    desk.step(news(rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-9"), 0), 30))
+    confirm = desk.asked_after(Asked(1, Verb.POLL, b"", "wk-9"))
+    final = msgspec.Raw(msgspec.json.encode(rec.FinalRecord(True, 1, "")))
+    desk.step(Watched(wire.WatchReply(40, [wire.LogEntry(40, None, KEY), wire.LogEntry(40, "g/f/wk-9", None, final)])))
+    assert desk.step(Answered(confirm.number, 409, msgspec.json.encode({"failed": [KEY], "ledger": 40}))) == []
+    assert b"done" in desk.replies[1].body
+
+
 CLOSE = """
 nodes 3
 team t cpus=40 max=64
@@ -171,9 +195,7 @@
     (look,) = desk.ask(1, Verb.SUBMIT, body)
     desk.step(missing(look))
     assert desk.replies[1].status == 422
-    news = wire.WatchReply(30, [wire.LogEntry(30, KEY, None, msgspec.Raw(msgspec.json.encode(
-        rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-9"), 0))))])  # fmt: skip
-    desk.step(Watched(news))
+    desk.step(news(rec.JobRecord(msgspec.structs.replace(SPEC, id="wk-9"), 0), 30))
     confirm = desk.asked_after(Asked(2, Verb.SUBMIT, body, "wk-9"))
     desk.step(Answered(confirm.number, 200, b'{"ledger":31}'))
     assert desk.replies[2].status == 200
