Machines where nobody can be pushed away are passed by

A slot now knows whether there can be any. The choice is the same: a property test compares the two, and fails with a part of the condition left out.

--- a/src/gladecroft/coordination/placers/placement.py
+++ b/src/gladecroft/coordination/placers/placement.py
@@ -124,6 +124,16 @@
             and need.memory_gb <= self.free_memory + self.coming_memory + TINY
         )
 
+    def has_victims(self, need: Need) -> bool:
+        """Whether the need might push away anything here: False means surely not."""
+        return not need.gentle and (self.weakest > need.rank or need.guaranteed and self.weakest >= 0)
+
+    def add(self, task: Resident) -> None:
+        """Note a task that this round has placed."""
+        self.residents.append(task)
+        if not task.guaranteed:
+            self.weakest = max(self.weakest, task.rank)
+
     def free_up(self, victim: Resident) -> None:
         """Count on a victim's room, which it is about to leave."""
         victim.stopping = True
@@ -177,6 +187,8 @@
     cpus = slot.free_cpus + slot.coming_cpus
     if need.cpus > cpus + slot.borrowed_cpus + TINY:
         return None
+    if not slot.has_victims(need) and not slot.will_fit(need):
+        return None  # asked of every machine for each task that finds no room: so without a look at all that is there
     gpus = slot.free_gpus + slot.coming_gpus
     memory = slot.free_memory + slot.coming_memory
     chosen: list[Resident] = []
--- a/src/gladecroft/coordination/placers/placers.py
+++ b/src/gladecroft/coordination/placers/placers.py
@@ -315,7 +315,7 @@
                     if self._spare < need.cpus:
                         usable = [slot for slot in usable if slot.high_cpus <= TINY]
                         ranking.drop(lambda slot: slot.high_cpus > TINY)
-                slot.residents.append(
+                slot.add(
                     Resident(job.id, number, spec.cpus, spec.gpus, spec.memory_gb, job.rank, spec.team, inside, 1 << 40)
                 )
             if spec.spread:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,9 @@
 """The two placers on the ordinary path, as DESIGN states them."""
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from gladecroft.coordination.placers.placement import HighPlacer, LowSide, Need, Resident, Slot, may_evict, victims_on
 
 LINE = 1
@@ -109,3 +113,29 @@
     assert offer is not None and offer.slot.machine == "m-2"
     offer = LowSide().choose(need(8), HighPlacer(4, True).offers(need(8), [gang]))
     assert offer is not None and offer.evictions() == 5
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.sampled_from("tuv"), st.booleans(), st.booleans(), st.integers(1, 6)),
+        max_size=6,
+    ),
+    st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=2),
+    st.tuples(st.integers(0, 3), st.booleans(), st.booleans(), st.integers(1, 20)),
+)
+def test_where_nobody_can_be_pushed_away_nobody_is_looked_for(
+    held: list[tuple[int, str, bool, bool, int]], added: list[tuple[int, bool]], wanted: tuple[int, bool, bool, int]
+) -> None:
+    """The short cut never hides what a look at all that is there would have found."""
+    rank, guaranteed, gentle, cpus = wanted
+    need = Need(cpus, 0.0, 1.0, "i", rank, "t", guaranteed, "n0", gentle)
+    here = slot("m-1", *(
+        Resident(f"wk-{index}", 0, cpus, 0.0, 1.0, rank, team, inside, index, stopping)
+        for index, (rank, team, inside, stopping, cpus) in enumerate(held)
+    ))  # fmt: skip
+    for number, (rank, inside) in enumerate(added):
+        here.add(Resident(f"wk-9{number}", 0, 1.0, 0.0, 1.0, rank, "u", inside, 1 << 40))
+    with pytest.MonkeyPatch.context() as patch:
+        short = victims_on(here, need)
+        patch.setattr(Slot, "has_victims", lambda self, need: True)
+        assert victims_on(here, need) == short
