Tests: a guard taken out is looked for over some seeds

A test that pins one seed might so fail by chance. It now goes on from its seed, 15 at most, and stops at the first that shows the rule broken.

--- a/tests/test_limits_meet.py
+++ b/tests/test_limits_meet.py
@@ -318,8 +318,10 @@
 def test_without_a_guard_the_histories_find_it(
     monkeypatch: pytest.MonkeyPatch, history: History, seed: int, guard: Callable[[pytest.MonkeyPatch], None], rule: str
 ) -> None:
+    # The order of sets differs from one process to the next, and with it a few histories: if not the seed at which the
+    # guard's lack was seen, one of those after it shows it.
     guard(monkeypatch)
-    assert any(broken.startswith(rule) for broken in play(history, seed))
+    assert any(broken.startswith(rule) for each in range(seed, seed + 15) for broken in play(history, each))
 
 
 def test_a_start_of_what_is_known_as_cancelled_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
