The lab refuses flags that are neither yes nor no, and parts beyond 0 to 1

A deed with at_once=true was played as if it said no, one with share=20 as all. Both are named now with their line, as unknown words are.

--- a/src/gladecroft/lab/scenario.py
+++ b/src/gladecroft/lab/scenario.py
@@ -69,8 +69,18 @@
 }
 
 
+#: Words that are yes or no, and those that say what part of all is meant.
+FLAGS = {"spot", "one_zone", "spread", "broken", "direct", "lift", "answers", "at_once", "next"}
+PARTS = {"share", "lose", "cancels"}
+
+
 def _check(verb: str, named: Words, known: set[str] | None) -> None:
-    for word in named:
+    for word, value in named.items():
+        if known is not None and word in known:
+            if word in FLAGS and verb not in SETTINGS and value not in ("yes", "no"):
+                raise ValueError(f"{verb}: {word} is yes or no, not {value!r}")
+            if word in PARTS and not 0.0 <= float(value) <= 1.0:
+                raise ValueError(f"{verb}: {word} is a part from 0 to 1, not {value}")
         if known is not None and word not in known:
             raise ValueError(f"{verb} knows no {word!r}" + (f" (known: {', '.join(sorted(known))})" if known else ""))
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -26,6 +26,10 @@
     [
         ("at 1 sumbit wk-1 team=t", "unknown deed 'sumbit'"),
         ("at 1 submit wk-1 team=t cpu=4", "submit knows no 'cpu'"),
+        ("at 1 late-writes share=0.2 for=5 at_once=true", "late-writes: at_once is yes or no, not 'true'"),
+        ("at 1 cancel-at-end share=20 for=5", "cancel-at-end: share is a part from 0 to 1, not 20"),
+        ("at 1 close-looks for=5 cancel=0.2", "close-looks knows no 'cancel'"),
+        ("at 1 cancel-now hang=5", "no such 'count'"),
         ("at 1 submit wk-1 team=u", "no team 'u'"),
         ("at 1 crash n7 for=2", "no controller 'n7'"),
         ("at 1 die 9", "no machine '9' at that time"),
