--- a/tests/test_looks.py
+++ b/tests/test_looks.py
@@ -11,6 +11,7 @@
 from gladecroft.bookkeeping import records as rec
 from gladecroft.coordination.messages import Answered, Asked, Call, Effect, Reply, Target, Verb, Watched
 from gladecroft.coordination.users.lookups import Lookups
+from gladecroft.coordination.users.users import Users
 from gladecroft.lab.scenario import Scenario
 from gladecroft.protocol import wire
 from test_epochs import clock
@@ -199,3 +200,26 @@
     confirm = desk.asked_after(Asked(2, Verb.SUBMIT, body, "wk-9"))
     desk.step(Answered(confirm.number, 200, b'{"ledger":31}'))
     assert desk.replies[2].status == 200
+
+
+ODD_DAY = """
+nodes 3
+team t cpus=40 max=64
+type g16 cpus=16 memory=64 boot=5
+up g16 count=2
+at 4 submit wk-1 team=t kind=service tasks=2 cpus=1
+at 4 submit wk-2 team=t tasks=3 run=4
+at 6 odd for=60
+at 20 crash leader for=1
+at 30 outage for=5
+run 80
+expect wk-2 done
+"""
+
+
+def test_odd_requests_are_refused_for_good_at_every_controller(monkeypatch: pytest.MonkeyPatch) -> None:
+    scenario = Scenario(ODD_DAY, 1).run()
+    assert scenario.oracle.broken == [] and scenario.failures == [] and len(scenario.oracle.impossible) > 50
+    # What can never run is taken, if nobody judges it.
+    monkeypatch.setattr(Users, "_judge", lambda self, spec: None)
+    assert any(text.startswith("took_impossible") for text in Scenario(ODD_DAY, 1).run().oracle.broken)
