Tests: odd requests with a planted fault that the lab can play

As first committed the planted judge let a job of an unknown team through, on which the lab's own books fell: the test failed. Judged by team alone, what fits no machine is taken, and the oracle finds it (took_impossible).

--- a/tests/test_looks.py
+++ b/tests/test_looks.py
@@ -220,6 +220,6 @@
 def test_odd_requests_are_refused_for_good_at_every_controller(monkeypatch: pytest.MonkeyPatch) -> None:
     scenario = Scenario(ODD_DAY, 1).run()
     assert scenario.oracle.broken == [] and scenario.failures == [] and len(scenario.oracle.impossible) > 50
-    # What can never run is taken, if nobody judges it.
-    monkeypatch.setattr(Users, "_judge", lambda self, spec: None)
+    # What fits no machine is taken, if nobody judges it.
+    monkeypatch.setattr(Users, "_judge", lambda self, spec: None if spec.team == "t" else (422, "unknown team"))
     assert any(text.startswith("took_impossible") for text in Scenario(ODD_DAY, 1).run().oracle.broken)
