Who may not act keeps no report of another's machine

Cause: the report of a machine that visits is kept until it is known whether it moves. In an outage machines are answered by consent, but nobody is entitled: the kept report was handled anew in each step, found to be another's, and kept again, for up to 17 s and over and over. The machine got no answer. Now a report is kept only by a controller that may act; else its owner is named at once. The new test fails without that.

--- a/src/gladecroft/coordination/keeper/visits.py
+++ b/src/gladecroft/coordination/keeper/visits.py
@@ -71,8 +71,12 @@
 
     def visited(self, asked: Asked, machine: str, owner: str | None, addr: str = "") -> None:
         """Another's machine has reported here: answer with its owner's name, or keep the report until it is known
-        whether the machine moves here."""
-        if owner is not None and self.bounce(machine, owner, addr):
+        whether the machine moves here.
+
+        Who may not act moves nothing, so it keeps nothing: through an outage, with machines answered by consent,
+        each kept report was handled and kept anew with every step, all of a controller's time, and never answered.
+        """
+        if owner is not None and self.membership.entitled() and self.bounce(machine, owner, addr):
             before = self._moving.get(machine)
             if before is not None:
                 self._send_back(before[0], owner)
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -12,8 +12,10 @@
 
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import TaskRecord, TaskState
+from gladecroft.coordination.consent import Consent
 from gladecroft.coordination.keeper.machine import Machine
 from gladecroft.coordination.keeper.visits import Visits
+from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.messages import Asked, Verb
 from gladecroft.lab.scenario import Scenario
 from test_fencing import Rig
@@ -247,3 +249,49 @@
     rig.at += 5  # it stood still
     rig.step([])
     assert not membership.settled(timedelta(seconds=6))
+
+
+def test_who_may_not_act_sends_others_machines_to_their_owners_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Consent, "answers", lambda self: True)
+
+    def played() -> tuple[list[int], int]:
+        """The answers to two reports of another's machine in an outage, and how often reports are handled."""
+        rig = Rig()
+        rig.put(rec.EPOCH, rec.EpochRecord(2, "n1", {"n0": 7, "n1": 8}, {"m-1": "n1"}))
+        for _ in range(30):
+            rig.step([])
+        rig.core.membership.entitled_until = timedelta()
+        handled = [0]
+        reported = rig.core.keeper.visits._reported
+
+        def counted(asked: Asked) -> None:
+            handled[0] += 1
+            reported(asked)
+
+        rig.core.keeper.visits._reported = counted
+        statuses = []
+        for number in (5, 6):
+            rig.number, rig.token, rig.seq = number, BASE - 1, number
+            replies = rig.step([Asked(number, Verb.REPORT, rig.report())])
+            for _ in range(10):
+                replies += rig.step([])
+            statuses += [reply.status for reply in replies]
+        return statuses, handled[0]
+
+    assert played() == ([421, 421], 0)
+    # Kept though nothing can be moved, a report is handled anew with every step, and not answered.
+    monkeypatch.setattr(Visits, "visited", _kept_anyway(Visits.visited))
+    statuses, handled = played()
+    assert statuses == [421] and handled >= 10
+
+
+def _kept_anyway(visited: Any) -> Any:
+    """As if the controller might act, as far as keeping a report goes."""
+
+    def kept(self: Visits, asked: Asked, machine: str, owner: str | None, addr: str = "") -> None:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Membership, "entitled", lambda membership: True)
+            patch.setattr(Membership, "settled", lambda membership, span: False)
+            visited(self, asked, machine, owner, addr)
+
+    return kept
