--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -356,8 +356,12 @@
 
 
 def test_without_the_teams_record_a_former_home_passes_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
-    # Seldom: five seeds of a hundred. It places in the moment between the new home's claim and its own news of that.
-    seeds = range(140, 143)
-    holds(homes, seeds)
-    without_team(monkeypatch)
-    assert finds("quota", homes, seeds)
+    # Seldom: about five seeds of a hundred, and which ones changes with the order of sets. It places in the moment
+    # between the new home's claim and its own news of that.
+    seeds = range(100, 200)
+    holds(homes, seeds[:10])
+    with monkeypatch.context() as patch:
+        without_team(patch)
+        found = next((seed for seed in seeds if any(text.startswith("quota") for text in broken(homes, seed))), None)
+    assert found is not None
+    holds(homes, range(found, found + 1))
