--- a/review/1/case.py
+++ b/review/1/case.py
@@ -94,7 +94,7 @@
     jobs = {"wk-2": "market-academy", "wk-3": "clearing-desk"}
     for job, team in jobs.items():
         cluster.submit(cluster.spec(job, owner=team, portions=2, cores=1.0, runS=3.0, expectedS=3.0))
-    longest = await longest_waits(cluster, jobs, min(cluster.sim.elapsed() + MAX_WAIT_S + 8, 115))
+    longest = await longest_waits(cluster, jobs, min(cluster.sim.elapsed() + MAX_WAIT_S + 8, 113))
     record.write(f"commits beyond a limit of the state service: {len(cluster.rejected_commits)}")
     return exit_code(cluster, longest)
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -71,7 +71,7 @@
         await anyio.sleep(NOTICE_S)
         cluster.cloud.remove(spot.name)
         record.write(f"{spot.name}: taken by the cloud")
-    longest = await longest_waits(cluster, ["wk-2"], min(cluster.sim.elapsed() + MAX_WAIT_S + 2, 115))
+    longest = await longest_waits(cluster, ["wk-2"], min(cluster.sim.elapsed() + MAX_WAIT_S + 2, 113))
     return exit_code(cluster, longest)
 
 
