--- a/src/gladecroft/lab/simulation.py
+++ b/src/gladecroft/lab/simulation.py
@@ -24,6 +24,7 @@
     Target,
     WatchResult,
 )
+from gladecroft.lab.late_copies import CopiedRequests, LateCopies
 from gladecroft.protocol import wire
 from gladecroft.protocol.settings import OperatorSettings, PlatformSettings
 from gladecroft.service import PEER_REQUESTS
@@ -49,6 +50,7 @@
         self._sequence = itertools.count()
         #: Upper bound of the latency that is added to each message.
         self.max_extra_latency = timedelta()
+        self.late_copies = LateCopies(self.rng, self.call_later)
         #: For each partition: whether it separates two hosts, its mode and the messages that it holds back.
         self._partitions: list[tuple[Callable[[str, str], bool], str, list[Callable[[], None]]]] = []
 
@@ -215,10 +217,16 @@
             peer = self.peers_by_addr[call.addr]
             kind = PEER_REQUESTS[call.path]
 
+            def deliver_to_peer(on_reply: Callable[[Reply], None]) -> None:
+                self.sim.send(self.name, peer.name, lambda: peer.handle_request(kind, call.body or b"", "", on_reply))
+
             def send_back(result: Reply) -> None:
                 self.sim.send(peer.name, self.name, lambda: complete(result.status, result.body))
+                self.sim.late_copies.request_answered(
+                    CopiedRequests.PEERS, result.status, lambda: deliver_to_peer(lambda reply: None)
+                )
 
-            self.sim.send(self.name, peer.name, lambda: peer.handle_request(kind, call.body or b"", "", send_back))
+            deliver_to_peer(send_back)
             return
         if call.target is Target.WORKER:
             worker = self.workers.get(call.addr)
@@ -226,16 +234,26 @@
                 self.sim.call_later(seconds(0.001), lambda: complete(-1, b""))
                 return
             target: str = worker.name
-            serve = worker.serve
+            server: WorkerServer | StateServer | CloudServer = worker
+            copied = CopiedRequests.MACHINES
         elif call.target is Target.STATE:
-            target, serve = "state", self.state.serve
+            target, server, copied = "state", self.state, CopiedRequests.STATE
         else:
-            target, serve = "cloud", self.cloud.serve
+            target, server, copied = "cloud", self.cloud, CopiedRequests.CLOUD
+
+        def deliver(on_reply: ReplyCallback) -> None:
+            self.sim.send(
+                self.name,
+                target,
+                lambda: server.serve(self.name, call.method, call.path, call.body or b"", on_reply),
+            )
 
         def reply(status: int, body: bytes) -> None:
             self.sim.send(target, self.name, lambda: complete(status, body))
+            if call.method != "GET":
+                self.sim.late_copies.request_answered(copied, status, lambda: deliver(lambda status, body: None))
 
-        self.sim.send(self.name, target, lambda: serve(self.name, call.method, call.path, call.body or b"", reply))
+        deliver(reply)
 
     def _watch(self, watch: StartWatch) -> None:
         run_number = self.run_number
--- a/src/gladecroft/lab/user.py
+++ b/src/gladecroft/lab/user.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gladecroft.coordination.events import Reply, RequestKind
+from gladecroft.lab.late_copies import CopiedRequests
 from gladecroft.lab.oracle import Oracle
 from gladecroft.lab.simulation import ControllerEndpoint, Simulation, encode_json, seconds
 
@@ -63,12 +64,17 @@
         self.sim.call_later(seconds(timeout_s), lambda: complete(None))
         name = target.name
 
-        def arrive() -> None:
-            target.handle_request(
-                kind, body, self.id, lambda reply: self.sim.send(name, "user", lambda: complete(reply))
-            )
+        def deliver(on_reply: Callable[[Reply], None]) -> None:
+            self.sim.send("user", name, lambda: target.handle_request(kind, body, self.id, on_reply))
 
-        self.sim.send("user", name, arrive)
+        def send_back(reply: Reply) -> None:
+            self.sim.send(name, "user", lambda: complete(reply))
+            if kind is not RequestKind.POLL:
+                self.sim.late_copies.request_answered(
+                    CopiedRequests.USERS, reply.status, lambda: deliver(lambda reply: None)
+                )
+
+        deliver(send_back)
 
     def submit(self, retry_until: float | None = None) -> None:
         """Submit the job, with retries for 60 s until it is accepted or rejected; poll it once it is accepted."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -30,6 +30,12 @@
         ("at 1 cancel-at-end share=20 for=5", "cancel-at-end: share is a part from 0 to 1, not 20"),
         ("at 1 close-looks for=5 cancel=0.2", "close-looks knows no 'cancel'"),
         ("at 1 cancel-now hang=5", "no such 'count'"),
+        (
+            "at 1 request-copies machine share=1 late=9 for=5",
+            "request-copies knows no machine (known: machines, state,",
+        ),
+        ("at 1 request-copies share=1 late=9 for=5", "request-copies needs a target (known: machines, state, cloud,"),
+        ("at 1 request-copies machines share=1 for=5", "no such 'late'"),
         ("at 1 submit wk-1 team=u", "no team 'u'"),
         ("at 1 crash n7 for=2", "no controller 'n7'"),
         ("at 1 die 9", "no machine '9' at that time"),
