Commands in a module of their own; logs and counters that tell a task's history

The epoch's line gains token and revision; exits, answers and records read again have a debug line. The attempt is named as in the lines about placements and exits.

--- a/src/gladecroft/coordination/consent.py
+++ b/src/gladecroft/coordination/consent.py
@@ -25,6 +25,7 @@
 
 import logging
 from datetime import timedelta
+from enum import Enum
 
 import msgspec
 
@@ -46,6 +47,14 @@
 NEVER = timedelta(days=-1)
 
 
+class RightToReply(Enum):
+    """What entitles a controller to reply to the reports of its machines."""
+
+    LEASE = "lease"
+    CONSENT = "consent"
+    NONE = "none"
+
+
 class PeerConsent:
     """Requests consent from the peers during an outage, and replies to their requests."""
 
@@ -68,9 +77,16 @@
             log.info("cancel_s exceeds lease_s by only %g s: consent in an outage will not extend replies to machines",
                      cancel_margin.total_seconds())  # fmt: skip
 
+    def right_to_reply(self) -> RightToReply:
+        """On what the right to reply to machine reports rests at present."""
+        if self.membership.is_active():
+            return RightToReply.LEASE
+        extended = self.membership.caught_up() and self.context.now < self._extended_until
+        return RightToReply.CONSENT if extended else RightToReply.NONE
+
     def may_reply_to_reports(self) -> bool:
         """Whether this controller may reply to machine reports: it is active, or consent has extended that right."""
-        return self.membership.is_active() or self.membership.caught_up() and self.context.now < self._extended_until
+        return self.right_to_reply() is not RightToReply.NONE
 
     def outage_confirmed(self) -> bool:
         """Whether the state service serves neither this controller nor, by their recent consent, any of its peers."""
--- a/src/gladecroft/coordination/core.py
+++ b/src/gladecroft/coordination/core.py
@@ -5,6 +5,8 @@
 import logging
 from typing import Any
 
+from msgspec import to_builtins
+
 from gladecroft.bookkeeping.records import MachineLifecycle
 from gladecroft.coordination.admission import AdmissionControl
 from gladecroft.coordination.consent import PeerConsent
@@ -194,6 +196,7 @@
                 "state_writes": round(self.context.state_writes.tokens, 1),
                 "cloud": round(self.context.cloud_calls.tokens, 1),
             },
+            "commands": to_builtins(self.machine_manager.command_sender.command_log.counts),
             "queues": {**self.users.queue_lengths(), "exits": len(self.state_writer.exits)},
         }
         policy_engine = self.context.policy_engine
--- a/src/gladecroft/coordination/machines/manager.py
+++ b/src/gladecroft/coordination/machines/manager.py
@@ -21,14 +21,14 @@
 from gladecroft.coordination.context import CLOCK_SKEW_FACTOR, ControllerContext
 from gladecroft.coordination.events import IncomingRequest
 from gladecroft.coordination.machines.announcer import MachineAnnouncer
-from gladecroft.coordination.machines.commands import command_key, commands_to_push, reconcile
+from gladecroft.coordination.machines.command_sender import CommandSender
 from gladecroft.coordination.machines.machine import Machine, parse_task_key
 from gladecroft.coordination.machines.misrouted_reports import TRANSIT_MARGIN, MisroutedReports
 from gladecroft.coordination.machines.report_evaluator import ReportEvaluator
 from gladecroft.coordination.membership import Membership
 from gladecroft.coordination.state_writer import LOST_NOTE_PREFIX, Outcome, StateWriter
 from gladecroft.protocol import peers, wire
-from gladecroft.protocol.wire import Command, CommandOp, Commands, Report
+from gladecroft.protocol.wire import Report
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +55,14 @@
         self.machines: dict[str, Machine] = {}
         self.evaluator = ReportEvaluator(context, state_writer)
         self.announcer = MachineAnnouncer(context, membership, state_writer)
+        self.command_sender = CommandSender(
+            context,
+            membership,
+            state_writer,
+            consent,
+            lambda machine, response: self._accept_report(machine, response, is_response=True),
+            lambda machine: self.machines.get(machine.id) is machine,
+        )
         self.misrouted = MisroutedReports(context, membership, self.machines, self.handle_report)
         #: A machine is silent if no report has arrived for longer than this.
         self._silence_threshold = 2.5 * context.report_interval + 2 * TRANSIT_MARGIN
@@ -97,11 +105,6 @@
         if machine is not None:
             self._highest_dropped_token = max(self._highest_dropped_token, machine.token)
 
-    def current_token(self, machine: Machine) -> int:
-        """Returns the token for the next commands to a machine, raised to the base token of the epoch."""
-        machine.token = max(machine.token, self.membership.base_token())
-        return machine.token
-
     # Reports -------------------------------------------------------------------------------------------------
 
     def handle_report(self, request: IncomingRequest) -> None:
@@ -128,7 +131,7 @@
             self.misrouted.handle_report(request, report.machine, owner, report.addr)
             return
         machine = self.ensure_machine(report.machine)
-        if report.token > self.current_token(machine):
+        if report.token > self.command_sender.current_token(machine):
             # The machine knows a newer epoch than this controller.
             context.reply_error(request.request_id, 503, "a newer epoch is about", 1)
             return
@@ -142,10 +145,8 @@
             return
         self._request_ack(machine)
         machine.last_reply_at, machine.last_reply_session = context.now, report.session
-        commands = self._next_commands(machine)
-        machine.start_pending = any(command.op is CommandOp.START for command in commands)
-        self.current_token(machine)
-        context.reply(request.request_id, 200, wire.encode(Commands(machine.token_for(commands), commands)))
+        commands = self.command_sender.commands_for_reply(machine)
+        context.reply(request.request_id, 200, wire.encode(commands))
         self.cluster_state.dirty_for_owner.discard(machine.id)
 
     def _request_ack(self, machine: Machine) -> None:
@@ -160,7 +161,7 @@
         elif self.context.now - machine.acked_at > max(
             self.context.machine_lease / ACK_REQUESTS_PER_LEASE, 2 * self.context.report_interval
         ):
-            machine.token = machine.ack_token = self.current_token(machine) + 1
+            machine.token = machine.ack_token = self.command_sender.current_token(machine) + 1
 
     def _accept_report(self, machine: Machine, report: Report, is_response: bool = False) -> bool:
         """Accepts a report if it is newer than the last one; returns whether it is.
@@ -254,21 +255,6 @@
 
     # Commands ------------------------------------------------------------------------------------------------
 
-    def _next_commands(self, machine: Machine) -> list[Command]:
-        """Returns the commands for a machine, marks them as sent, and records the exits that its report confirms."""
-        desired = self.cluster_state.tasks_by_machine.get(machine.id, {})
-        exits = self.state_writer.exits
-        commands, absent = reconcile(
-            machine, desired, self.cluster_state.jobs, lambda key, attempt: (*key, attempt) in exits
-        )
-        for key in absent:
-            self.state_writer.record_exit(*key, desired[key].attempt, Outcome(False, desired[key].note or "stopped"))
-        if len(machine.command_sent_at) > 2 * len(commands) + 200:
-            machine.command_sent_at.clear()
-        for command in commands:
-            machine.command_sent_at[command_key(command)] = self.context.now
-        return commands
-
     def push_commands(self) -> None:
         """Sends direct commands to machines whose desired tasks changed, and handles held reports and announcements."""
         self.misrouted.reply_to_held()
@@ -283,73 +269,9 @@
                     machine = self.ensure_machine(machine_id)
                     if machine.report is not None and machine.acked_at is not None:
                         self.evaluator.evaluate(machine)
-                    self._push(machine)
+                    self.command_sender.push(machine)
                 elif machine_id in self.machines:
-                    self._push(self.machines[machine_id])
-
-    def _push(self, machine: Machine) -> None:
-        context = self.context
-        report = machine.report
-        if report is None or machine.push_pending or machine.lost or machine.last_reply_at is None:
-            return
-        if machine.last_report_at is None or context.now - machine.last_report_at > 2 * context.report_interval:
-            return
-        if report.session != machine.last_reply_session:
-            return
-        previously_sent_at = dict(machine.command_sent_at)
-        commands = self._next_commands(machine)
-        due = commands_to_push(commands, previously_sent_at, context.now)
-        machine.command_sent_at = {**machine.command_sent_at, **previously_sent_at}
-        if not due:
-            return
-        known_token = self.current_token(machine)
-        token = machine.token_for(due)
-        if token > known_token:
-            # The machine drops a reply that these commands overtake, so the commands in it are due again.
-            machine.command_sent_at = {}
-        for command in due:
-            machine.command_sent_at[command_key(command)] = context.now
-        sent_at = context.now
-        machine.push_pending = True
-
-        def on_response(status: int, body: bytes) -> None:
-            if self.machines.get(machine.id) is not machine:
-                return
-            machine.push_pending = False
-            if status in (200, 409):
-                try:
-                    response: Report = wire.decode(Report, body)
-                except msgspec.DecodeError as error:
-                    log.error("machine %s responded to a direct command with a malformed report: %s", machine.id, error)
-                else:
-                    self._accept_report(machine, response, True)  # does not renew the lease, so last_reply_at stays
-                    if status == 409 and response.token <= self.current_token(machine):
-                        # Nothing was executed, and the machine accepts the present token.
-                        for command in due:
-                            machine.command_sent_at.pop(command_key(command), None)
-                    self.cluster_state.dirty_for_owner.add(machine.id)
-                    return
-            if (
-                machine.last_report_at is not None
-                and machine.last_report_at <= sent_at
-                and context.now - sent_at > context.report_interval / 2
-            ):
-                # Neither a response nor a report has arrived since: no more tasks are placed on the machine until it
-                # acknowledges a reply.
-                machine.suspect = True
-                self.cluster_state.dirty_for_placement.add(machine.id)
-            if status != -1:
-                # The command may still be in flight. From now on only reports with a higher token are trusted.
-                machine.token = max(machine.token, token + 1)
-                machine.fencing_token = machine.token
-                log.info(
-                    "machine %s sent no valid response to a direct command: fencing with token %d",
-                    machine.id,
-                    machine.token,
-                )
-
-        body = wire.encode(Commands(token, due, report.session))
-        context.post_to_worker(report.addr, wire.COMMANDS_PATH, body, on_response)
+                    self.command_sender.push(self.machines[machine_id])
 
     # Silence -------------------------------------------------------------------------------------------------
 
--- a/src/gladecroft/coordination/membership/membership.py
+++ b/src/gladecroft/coordination/membership/membership.py
@@ -359,8 +359,9 @@
             # requests, two controllers that took over machines from a third kept cancelling each other's requests until
             # a machine lease expired.
             self._prune_move_requests()
-            log.info("epoch %d: leader %s, members %s, %d machines moved",
-                     epoch.number, epoch.leader, ",".join(sorted(epoch.members)), len(epoch.moved))  # fmt: skip
+            log.info("epoch %d: leader %s, members %s, %d machines moved, token=%d revision=%d",
+                     epoch.number, epoch.leader, ",".join(sorted(epoch.members)), len(epoch.moved),
+                     self.base_token(), self.cluster_state.epoch_version)  # fmt: skip
 
     def _propose_epoch(self) -> None:
         """Write the next epoch if the member keys differ from the current epoch, or machines are to be moved."""
--- a/src/gladecroft/coordination/state_writer/exits.py
+++ b/src/gladecroft/coordination/state_writer/exits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 from datetime import timedelta
 
 import msgspec
@@ -20,6 +21,8 @@
 from gladecroft.coordination.membership import Membership
 from gladecroft.protocol import peers, wire
 
+log = logging.getLogger(__name__)
+
 #: Minimum time between two writes of the outbox record, so that one value holds many entries.
 OUTBOX_INTERVAL = timedelta(seconds=1)
 #: How often messages about exits and new machines are sent to peers, after how long an exit is sent again, and after
@@ -89,6 +92,9 @@
         """Records that an attempt is confirmed ended."""
         key = (job_id, task_number, attempt)
         if key not in self.exits:
+            log.debug(
+                "exit confirmed: attempt=%s/%d#%d outcome=%s", job_id, task_number, attempt, outcome.note or "done"
+            )
             self.exits[key] = outcome
             self.recorded_at[key] = self.context.now
             index = task_number // self.cluster_state.chunk_size
--- a/src/gladecroft/coordination/state_writer/writer.py
+++ b/src/gladecroft/coordination/state_writer/writer.py
@@ -341,6 +341,7 @@
             self._reads_pending -= 1
             if status == 200:
                 item: wire.KeyValue = wire.decode(wire.KeyValue, body)
+                log.debug("record read: key=%s revision=%d", key, item.version)
                 self.cluster_state.apply(key, item.value, item.version)
             elif status == 404:
                 self.cluster_state.apply(key, None, wire.decode(wire.KeyNotFound, body).revision)
--- a/src/gladecroft/coordination/users/pending.py
+++ b/src/gladecroft/coordination/users/pending.py
@@ -62,6 +62,7 @@
             reply.done, reply.running = final.tasks, 0
             if final.reason:
                 reply.reason = final.reason
+        log.debug("answer: job=%s state=%s basis=final_record", entry.request.job_id, state.value)
         self.context.reply(entry.request.request_id, 200, wire.encode(reply))
 
     def reply_status(self, entry: PendingRequest, job: Job, http_status: int = 200) -> None:
@@ -78,6 +79,7 @@
             reason = self.wait_reason(job)
             if reason:
                 reply.reason = reason
+        log.debug("answer: job=%s state=%s basis=confirmed_record revision=%d", job.id, reply.state.value, job.version)
         self.context.reply(entry.request.request_id, http_status, wire.encode(reply))
 
     def is_open(self, entry: PendingRequest) -> bool:
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -264,7 +264,7 @@
     harness.step([])
     assert harness.command is None
     # Once the machine has received a reply in this session, its lease counts from that reply.
-    harness.token = harness.core.machine_manager.current_token(machine)
+    harness.token = harness.core.machine_manager.command_sender.current_token(machine)
     assert report(2, start_s + lease_s + 2.5) == 200
     assert machine.last_reply_at is not None and machine.last_reply_session == 2
 
--- a/tests/test_machine_report_faults.py
+++ b/tests/test_machine_report_faults.py
@@ -29,8 +29,9 @@
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.records import TaskState
 from gladecroft.coordination.events import CallResult, IncomingRequest, OutgoingCall, RequestKind
-from gladecroft.coordination.machines import manager
+from gladecroft.coordination.machines import command_sender
 from gladecroft.coordination.machines.announcer import MachineAnnouncer
+from gladecroft.coordination.machines.command_sender import CommandSender
 from gladecroft.coordination.machines.machine import Machine, TaskKey
 from gladecroft.coordination.machines.manager import MachineManager
 from gladecroft.coordination.membership import Membership
@@ -343,14 +344,14 @@
 
 def test_no_direct_start_in_a_new_session_of_a_machine_whose_reports_are_lost(monkeypatch: pytest.MonkeyPatch) -> None:
     run_scenario(LOST_REPORTS, 2)
-    push = MachineManager._push
+    push = CommandSender.push
 
-    def in_any_session(machine_manager: MachineManager, machine: Machine) -> None:
+    def in_any_session(sender: CommandSender, machine: Machine) -> None:
         if machine.report is not None:
             machine.last_reply_session = machine.report.session
-        push(machine_manager, machine)
+        push(sender, machine)
 
-    monkeypatch.setattr(MachineManager, "_push", in_any_session)
+    monkeypatch.setattr(CommandSender, "push", in_any_session)
     assert "ran_twice" in failed_checks(LOST_REPORTS, 2)
 
 
@@ -486,12 +487,12 @@
 def test_without_starts_in_later_sessions_tasks_that_ended_in_an_outage_are_left_waiting(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    reconcile = manager.reconcile
+    reconcile = command_sender.reconcile
 
     def start_only_in_first_session(machine: Machine, *args: Any) -> tuple[list[Command], list[TaskKey]]:
         commands, absent = reconcile(machine, *args)
         first_session = machine.report is None or machine.report.session == 1
         return [command for command in commands if first_session or command.op is not CommandOp.START], absent
 
-    monkeypatch.setattr(manager, "reconcile", start_only_in_first_session)
+    monkeypatch.setattr(command_sender, "reconcile", start_only_in_first_session)
     assert "left_waiting" in failed_checks((SCENARIO_DIR / "all_away.txt").read_text(encoding="utf-8"), 1)
--- a/tests/test_quota_and_cancellation_faults.py
+++ b/tests/test_quota_and_cancellation_faults.py
@@ -27,7 +27,8 @@
 from gladecroft.bookkeeping import records as rec
 from gladecroft.bookkeeping.job import Job
 from gladecroft.coordination.events import RequestKind
-from gladecroft.coordination.machines import manager
+from gladecroft.coordination.machines import command_sender
+from gladecroft.coordination.machines.command_sender import CommandSender
 from gladecroft.coordination.machines.machine import Machine
 from gladecroft.coordination.machines.manager import MachineManager
 from gladecroft.coordination.membership import Membership
@@ -170,9 +171,9 @@
 def record_starts_of_cancelled_jobs(monkeypatch: pytest.MonkeyPatch) -> list[str]:
     """Returns a list that collects each START command of a controller that knows the job to be cancelled."""
     starts: list[str] = []
-    next_commands = MachineManager._next_commands
+    next_commands = CommandSender.next_commands
 
-    def recording(self: MachineManager, machine: Machine) -> list[Command]:
+    def recording(self: CommandSender, machine: Machine) -> list[Command]:
         issued = next_commands(self, machine)
         for command in issued:
             job = self.cluster_state.jobs.get(command.task.rpartition("/")[0])
@@ -180,7 +181,7 @@
                 starts.append(f"{self.context.name} starts {command.task} on machine {machine.id}")
         return issued
 
-    monkeypatch.setattr(MachineManager, "_next_commands", recording)
+    monkeypatch.setattr(CommandSender, "next_commands", recording)
     return starts
 
 
@@ -285,13 +286,13 @@
 
 def hide_cancellation(monkeypatch: pytest.MonkeyPatch) -> None:
     """Derives the commands for machines as if no job were cancelled."""
-    reconcile = manager.reconcile
+    reconcile = command_sender.reconcile
 
     def without_cancellation(machine: Machine, desired: Any, jobs: dict[str, Job], ended: Any) -> Any:
         uncancelled: Any = {name: UncancelledJob(jobs[name]) for name, _ in desired if name in jobs}
         return reconcile(machine, desired, uncancelled, ended)
 
-    monkeypatch.setattr(manager, "reconcile", without_cancellation)
+    monkeypatch.setattr(command_sender, "reconcile", without_cancellation)
 
 
 def find_violations(build_scenario: ScenarioBuilder, seed: int) -> list[str]:
