Tests: late copies of transactions, rentals, peer and user requests take no second effect

Change: a scenario with every kind of request, with copies of each kind alone and of all; no transaction that took effect may take effect again.

--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -10,6 +10,7 @@
 
 from gladecroft.coordination.machines.machine import Machine
 from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.simulation import ReplyCallback
 from gladecroft.lab.state_service import SimulatedStateService
 from gladecroft.lab.worker import SimulatedWorker
 
@@ -205,3 +206,70 @@
     assert cost.largest_report < MAX_REPORT_BYTES
     monkeypatch.setattr(Machine, "token_for", lambda self, commands: self.token)
     assert cost == cost_of_short_tasks(monkeypatch)
+
+
+#: Machines are rented and returned, jobs are done and cancelled, controllers and machines fail.
+EVERY_KIND_OF_REQUEST = """
+nodes 3
+set machine.idle=8
+team t cpus=40 max=80
+team u cpus=20 max=60
+type g16 cpus=16 memory=64 boot=6
+up g16 count=2
+at 1 request-copies {targets} share=1 late=40 for=90
+at 2 submit wk-1 team=t kind=service tasks=6 cpus=2 spread=yes
+at 3 submit wk-2 team=u tasks=12 cpus=4 run=6
+at 20 submit wk-3 team=t tasks=8 cpus=8 run=400
+at 24 die busiest
+at 30 cancel wk-3
+at 34 crash leader for=0.3
+at 44 submit wk-4 team=u tasks=6 cpus=8 run=5
+at 50 refuse follower for=9
+at 60 submit wk-5 team=t kind=service tasks=2 cpus=4
+at 66 cancel wk-5
+at 72 crash all for=0.6
+run 200
+expect wk-1 running is 6
+expect wk-2 done
+expect wk-3 aborted
+expect wk-4 done
+expect wk-5 aborted
+expect starts-after-cancel <= 0
+expect ghosts <= 0
+"""
+
+
+def watch_transactions(patch: pytest.MonkeyPatch) -> tuple[list[bytes], list[bytes]]:
+    """Return the transactions that arrive again after they took effect, and those of them that take effect again."""
+    executed: set[bytes] = set()
+    repeated: list[bytes] = []
+    executed_again: list[bytes] = []
+    commit = SimulatedStateService._commit
+
+    def watching_commit(self: SimulatedStateService, txn: Any, reply: ReplyCallback) -> None:
+        body = msgspec.json.encode(txn)
+
+        def watching_reply(status: int, response: bytes) -> None:
+            if body in executed:
+                repeated.append(body)
+            if status == 200 and txn.get("apply"):
+                if body in executed:
+                    executed_again.append(body)
+                executed.add(body)
+            reply(status, response)
+
+        commit(self, txn, watching_reply)
+
+    patch.setattr(SimulatedStateService, "_commit", watching_commit)
+    return repeated, executed_again
+
+
+@pytest.mark.parametrize("targets", ["state", "cloud", "peers", "users", "machines state cloud peers users"])
+def test_late_copies_of_requests_take_no_second_effect(targets: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    for seed in range(1, 4):
+        with monkeypatch.context() as patch:
+            repeated, executed_again = watch_transactions(patch)
+            scenario = Scenario(EVERY_KIND_OF_REQUEST.format(targets=targets), seed).run()
+        assert scenario.sim.late_copies.count > 0
+        assert bool(repeated) == ("state" in targets) and executed_again == [], seed
+        assert scenario.oracle.violations == [] and scenario.unmet_expectations == [], seed
