Tests: enable logging again after each test

Cause: the lab's commands disable the logs of their process. Tests that read logs failed when they ran after tests/test_lab.py (25 of test_consent in that order); the usual order hid it.

Change: a fixture enables them again. Measured: test_lab, then test_consent: 62 passed where 25 failed before.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -18,6 +20,14 @@
 
 pytest_plugins = ["pytester"]
 
+
+@pytest.fixture(autouse=True)
+def enabled_logging() -> Iterator[None]:
+    """Enable the logs again that commands of the lab disable for their process."""
+    yield
+    logging.disable(logging.NOTSET)
+
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
 
