Lab: actions, expectations and syntax of scenarios in modules of their own

Need: lab/scenario.py had grown to 640 lines, with one method of 175 lines that performed 42 actions in a chain of branches and one of 60 for the expectations. Change: a table of actions with a method each, a table of measures for the expectations, and the syntax by itself; `perform` is public, since tests and measuring programs call it. Behaviour is unchanged.

--- a/src/gladecroft/lab/commands.py
+++ b/src/gladecroft/lab/commands.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from gladecroft.lab.loopback import LoopbackCluster, LoopbackError
-from gladecroft.lab.scenario import Scenario, ScenarioError
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.scenario_syntax import ScenarioError
 from gladecroft.protocol.settings import OperatorSettings, SettingsError, load_operator
 from gladecroft.toolbox.controller_client import EXIT_BAD_INPUT, exit_with_error
 
--- a/src/gladecroft/lab/growth.py
+++ b/src/gladecroft/lab/growth.py
@@ -139,10 +139,10 @@
         team = f"team={TEAMS[number % 3]}"
         options = ["kind=service", "tasks=4", "spread=yes"] if number % 4 == 0 else ["tasks=10", "run=15"]
         words = ["submit", f"wk-{number}", team, "cpus=2", *options]
-        scenario.sim.call_at(seconds(submit_at_s), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(submit_at_s), partial(scenario.perform, words))
         if number % 4 == 0:
             cancel_words = ["cancel", f"wk-{number}"]
-            scenario.sim.call_at(seconds(submit_at_s + 25), partial(scenario._perform, cancel_words))
+            scenario.sim.call_at(seconds(submit_at_s + 25), partial(scenario.perform, cancel_words))
         number += 1
         submit_at_s += interval_s
     scenario.sim.run_until(seconds(WARMUP_S))
@@ -175,7 +175,7 @@
     scenario = Scenario(RESTART_SCENARIO.format(half=-(-services // 5)), 1).run()
     for number in range(services):
         words = ["submit", f"wk-{number}", "team=t", "kind=service", "tasks=4", "cpus=1", "spread=yes"]
-        scenario.sim.call_at(seconds(2 + number * 0.05), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(2 + number * 0.05), partial(scenario.perform, words))
     # 80 s after the last submission, machines that were returned to the cloud as idle have been rented again.
     settled_at_s = 2 + services * 0.05 + 80
     scenario.sim.run_until(seconds(settled_at_s))
@@ -198,7 +198,7 @@
         serve(node, method, path, body, counted_reply)
 
     scenario.state.serve = counted_serve  # type: ignore[method-assign]
-    scenario._perform(["crash", "all", "for=5"])
+    scenario.perform(["crash", "all", "for=5"])
     started_at_s = scenario.sim.elapsed() + 5
     scenario.sim.run_until(seconds(started_at_s))
     replied: set[str] = set()
--- a/src/gladecroft/lab/overload.py
+++ b/src/gladecroft/lab/overload.py
@@ -46,7 +46,7 @@
     count = int((until_s - 2.0) * load / SATURATING_INTERVAL_S)
     for number in range(count):
         words = ["submit", f"wk-1{number:05d}", "team=a", f"priority={priority}", "tasks=24", "cpus=4", "run=8"]
-        scenario.sim.call_at(seconds(2.0 + number * SATURATING_INTERVAL_S / load), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(2.0 + number * SATURATING_INTERVAL_S / load), partial(scenario.perform, words))
     return count
 
 
@@ -55,7 +55,7 @@
     count = int((until_s - SMALL_START_S) / SMALL_INTERVAL_S)
     for number in range(count):
         words = ["submit", f"wk-2{number:05d}", "team=b", "tasks=8", "cpus=4", "run=8"]
-        scenario.sim.call_at(seconds(SMALL_START_S + number * SMALL_INTERVAL_S), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(SMALL_START_S + number * SMALL_INTERVAL_S), partial(scenario.perform, words))
     return count
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -141,7 +141,7 @@
     submit_backlog(scenario, 3.0, until)
     assert submit_small_arrays(scenario, until + 10) == 15
     for at, fault in faults or []:
-        scenario.sim.call_at(seconds(at), partial(scenario._perform, fault.split()))
+        scenario.sim.call_at(seconds(at), partial(scenario.perform, fault.split()))
     scenario.sim.run_until(seconds(until))
     assert scenario.oracle.violations == []
     return scenario
@@ -189,7 +189,7 @@
     scenario.state.serve = served  # type: ignore[method-assign]
     for number in range(20):
         words = ["submit", f"wk-{number}", f"team={'ab'[number % 2]}", "tasks=6", "cpus=4", "run=8"]
-        scenario.sim.call_at(seconds(2 + number * 2.0), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(2 + number * 2.0), partial(scenario.perform, words))
     scenario.sim.run_until(seconds(90))
     assert all(
         controller.core.context.cluster_state.admission is None
@@ -331,10 +331,10 @@
     scenario = Scenario(SHEDDING_SCENARIO.format(on=admission), 1).run()
     for number in range(500):
         words = ["submit", f"wk-1{number:04d}", "team=a", "cpus=4", "run=4"]
-        scenario.sim.call_at(seconds(5 + number * 0.2), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(5 + number * 0.2), partial(scenario.perform, words))
     for number in range(30):
         words = ["submit", f"wk-2{number:04d}", "team=b", "cpus=4", "run=4"]
-        scenario.sim.call_at(seconds(6 + number * 4.0), partial(scenario._perform, words))
+        scenario.sim.call_at(seconds(6 + number * 4.0), partial(scenario.perform, words))
     scenario.sim.run_until(seconds(240))
     assert scenario.oracle.violations == []
     return scenario
@@ -372,7 +372,7 @@
     scenario = build_scenario(True, 3, guarantee)
     submit_backlog(scenario, 3.0, until, priority)
     for at, line in commands:
-        scenario.sim.call_at(seconds(at), partial(scenario._perform, line.split()))
+        scenario.sim.call_at(seconds(at), partial(scenario.perform, line.split()))
     scenario.sim.run_until(seconds(until))
     assert scenario.oracle.violations == []
     return scenario
@@ -427,7 +427,7 @@
     scenario.sim.run_until(seconds(5))
     words = ["submit", "wk-1", "team=a", "cpus=4", "run=4"]
     for _ in range(8):
-        scenario._perform(words)
+        scenario.perform(words)
     scenario.sim.run_until(seconds(30))
     statuses = [status for _, kind, status, _ in scenario.users["wk-1"].responses if kind == "submit"]
     assert sorted(statuses) == [200] * 7 + [201] and len(scenario.oracle.starts) == 1
--- a/tests/test_consent.py
+++ b/tests/test_consent.py
@@ -96,7 +96,7 @@
             ["cancel", "wk-2"],
         ))  # fmt: skip
         at_s = rng.uniform(12, 50)
-        scenario.sim.call_at(seconds(at_s), partial(scenario._perform, action))
+        scenario.sim.call_at(seconds(at_s), partial(scenario.perform, action))
     return scenario
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,7 +14,8 @@
 from gladecroft.cli import main
 from gladecroft.lab.loopback import LoopbackCluster
 from gladecroft.lab.oracle import Oracle
-from gladecroft.lab.scenario import Scenario, ScenarioError
+from gladecroft.lab.scenario import Scenario
+from gladecroft.lab.scenario_syntax import ScenarioError
 from gladecroft.protocol.settings import OperatorSettings
 
 SMALL_CLUSTER = "team t cpus=16 max=16\ntype g16 cpus=16 memory=64 boot=5\nup g16\n"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -47,7 +47,7 @@
 
     def place(job_id: str, at_s: float) -> None:
         scenario.sim.call_at(
-            seconds(at_s), lambda: scenario._perform(["submit", job_id, "team=t", "tasks=1", "cpus=2", "run=30"])
+            seconds(at_s), lambda: scenario.perform(["submit", job_id, "team=t", "tasks=1", "cpus=2", "run=30"])
         )
         scenario.sim.run_until(seconds(at_s + 3))
         # An element of ``starts`` consists of time, (job id, task number), machine and attempt.
@@ -221,9 +221,9 @@
         serve(node, method, path, body, reply)
 
     scenario.state.serve = counted  # type: ignore[method-assign]
-    scenario.sim.call_at(seconds(5), lambda: scenario._perform(["submit", "wk-1", "team=t", "tasks=2", "run=5"]))
+    scenario.sim.call_at(seconds(5), lambda: scenario.perform(["submit", "wk-1", "team=t", "tasks=2", "run=5"]))
     # This job was finished before any controller started; its final record is read on demand.
-    scenario.sim.call_at(seconds(5), lambda: scenario._perform(["submit", "wk-700123", "team=t", "tasks=2", "run=5"]))
+    scenario.sim.call_at(seconds(5), lambda: scenario.perform(["submit", "wk-700123", "team=t", "tasks=2", "run=5"]))
     scenario.sim.run_until(seconds(30))
     assert len(pages) == len(scenario.controllers)
     assert scenario.oracle.reported_state["wk-1"] == scenario.oracle.reported_state["wk-700123"] == "done"
