--- a/tests/test_delayed_writes.py
+++ b/tests/test_delayed_writes.py
@@ -37,7 +37,7 @@
 from gladecroft.bookkeeping.cluster_state import ClusterState
 from gladecroft.bookkeeping.job import Job
 from gladecroft.bookkeeping.transaction import TransactionBuilder
-from gladecroft.coordination.machines import manager
+from gladecroft.coordination.machines import command_sender
 from gladecroft.coordination.machines.commands import reconcile
 from gladecroft.coordination.machines.machine import Machine, TaskKey
 from gladecroft.coordination.state_writer.writer import StateWriter
@@ -153,7 +153,7 @@
         ]
         return commands, [key for key in absent if key not in keys]
 
-    monkeypatch.setattr(manager, "reconcile", ignore_cancellation)
+    monkeypatch.setattr(command_sender, "reconcile", ignore_cancellation)
 
 
 # The epoch ---------------------------------------------------------------------------------------------------
