Reply to a report without commands without fencing and logging them

Every reply went through the raising of the token and the log, also the reply to a quiet report, which has no commands; of them, nothing is to be fenced, counted or logged.

Change: such a reply returns at once, with the same token. Behaviour is unchanged.

--- a/src/gladecroft/coordination/machines/command_sender.py
+++ b/src/gladecroft/coordination/machines/command_sender.py
@@ -92,6 +92,8 @@
         """Returns the token and the commands for the reply to a machine's newest report."""
         commands = self.next_commands(machine)
         machine.start_pending = any(command.op is CommandOp.START for command in commands)
+        if not commands:
+            return Commands(self.current_token(machine), commands)
         token = self._fence(machine, commands)
         self.command_log.commands_sent(machine, commands, CommandWay.REPLY)
         return Commands(token, commands)
