--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """See claim.txt."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -63,4 +64,6 @@
 
 
 if __name__ == "__main__":
-    stand_ins.main(Path(__file__).resolve().parent, sys.modules[__name__])
+    # TROUBLE=0: the same without the disruption.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    stand_ins.main(Path(__file__).resolve().parent, sys.modules[__name__], trouble)
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -792,11 +792,10 @@
             *(f"state service answered 400: {text}" for text in self.state.rejected), ""]))  # fmt: skip
 
 
-def main(folder: Path, play, limit_s: float = 118.5) -> None:
-    """Runs a case. Exit code 1: the rule was broken, 0: it held, 2: the case could not run."""
+def main(folder: Path, play, trouble: bool, limit_s: float = 118.5) -> None:
+    """Runs a case with or without its trouble. Exit code 1: the rule was broken, 0: it held, 2: it could not run."""
 
     async def run() -> int:
-        trouble = os.environ.get("TROUBLE", "1") != "0"
         site, code, verdict = None, 2, "could not run"
         try:
             async with asyncio.timeout(limit_s):
