Log which keys a controller reads again, and when it gives a machine up

Change: the log names the keys, a read that finds no record with the two revisions, the removal of a machine whose record is deleted, and a report that is rejected since its machine counts as returned. No behaviour changes.

--- a/src/gladecroft/bookkeeping/cluster_state.py
+++ b/src/gladecroft/bookkeeping/cluster_state.py
@@ -147,7 +147,8 @@
             self.restricted_machines.pop(name, None)
             self.evacuating_machines.pop(name, None)
             if value is None:
-                self.machines.pop(name, None)
+                if self.machines.pop(name, None) is not None:
+                    log.info("machine %s removed: its record is deleted, revision=%d", name, version)
             else:
                 machine = self.machines[name] = decode(rec.MachineRecord, value)
                 if machine.lifecycle is not rec.MachineLifecycle.UP:
--- a/src/gladecroft/coordination/machines/manager.py
+++ b/src/gladecroft/coordination/machines/manager.py
@@ -124,6 +124,7 @@
         ):
             # The report was in flight when the machine was returned to the cloud. If it were accepted, tasks would be
             # placed on a machine that no longer exists.
+            log.info("report rejected: machine=%s was returned to the cloud", report.machine)
             context.reply_error(request.request_id, 503, "this machine was returned", 1)
             return
         owner = self.membership.owner(report.machine, report.zone)
--- a/src/gladecroft/coordination/state_writer/writer.py
+++ b/src/gladecroft/coordination/state_writer/writer.py
@@ -315,7 +315,7 @@
                 # exceed the team's limit. This controller therefore renews its claim before it places again: the old
                 # commit then fails, unless it was executed earlier and the watch delivers its placements.
                 self.teams_with_unknown_outcome |= txn.placed_teams
-                log.info("outcome of commit unknown: reading %d keys again", len(txn.writes))
+                log.info("outcome of commit unknown: reading %d keys again: %s", len(txn.writes), ",".join(txn.writes))
                 self._stale_keys.extend(key for key in txn.writes if key not in self._stale_keys)
             elif status == 400:
                 log.error("the state service rejected a commit as malformed: %s", body[:200])
@@ -344,7 +344,10 @@
                 log.debug("record read: key=%s revision=%d", key, item.version)
                 self.cluster_state.apply(key, item.value, item.version)
             elif status == 404:
-                self.cluster_state.apply(key, None, wire.decode(wire.KeyNotFound, body).revision)
+                revision = wire.decode(wire.KeyNotFound, body).revision
+                log.info("record read: key=%s absent at revision=%d, known here: revision=%d",
+                         key, revision, self.cluster_state.version(key))  # fmt: skip
+                self.cluster_state.apply(key, None, revision)
             else:
                 self._stale_keys.append(key)
 
