Reads of single records: one function applies their answers

Change: ControllerContext.apply_read applies a found record, or its absence, for the state writer, the membership and the lookups. The handling of a commit's result is split by outcome, and the application of a machine record has a method of its own; it decodes the record before it changes anything. The number of concurrent reads has a name. A rejoining controller recognizes its member key by the record that it holds after the read, not by the bytes read.

--- a/src/gladecroft/bookkeeping/cluster_state.py
+++ b/src/gladecroft/bookkeeping/cluster_state.py
@@ -160,23 +160,7 @@
             if team is not None:
                 self.team_records[team] = rec.TeamRecord() if value is None else decode(rec.TeamRecord, value)
         elif kind == rec.MACHINES:
-            self.reported_machines.pop(name, None)
-            self.placement_suspended.pop(name, None)
-            self.restricted_machines.pop(name, None)
-            self.evacuating_machines.pop(name, None)
-            if value is None:
-                # Only the records of machines that were returned to the cloud are deleted.
-                self._mark_returned(name)
-                if self.machines.pop(name, None) is not None:
-                    log.info("machine %s removed: its record is deleted, revision=%d", name, version)
-            else:
-                machine = self.machines[name] = decode(rec.MachineRecord, value)
-                if machine.lifecycle is not rec.MachineLifecycle.UP:
-                    self.restricted_machines[name] = machine.lifecycle
-                if machine.lifecycle in rec.EVACUATED_LIFECYCLES:
-                    self.evacuating_machines[name] = machine.lifecycle
-            self.dirty_for_owner.add(name)
-            self.dirty_for_placement.add(name)
+            self._apply_machine(name, None if value is None else decode(rec.MachineRecord, value), version)
         elif kind == rec.OUTBOXES:
             if value is None:
                 self.outboxes.pop(name, None)
@@ -197,6 +181,25 @@
             self.epoch = None if value is None else decode(rec.EpochRecord, value)
             self.epoch_version = version
 
+    def _apply_machine(self, machine_id: str, record: rec.MachineRecord | None, version: int) -> None:
+        self.reported_machines.pop(machine_id, None)
+        self.placement_suspended.pop(machine_id, None)
+        self.restricted_machines.pop(machine_id, None)
+        self.evacuating_machines.pop(machine_id, None)
+        if record is None:
+            # Only the records of machines that were returned to the cloud are deleted.
+            self._mark_returned(machine_id)
+            if self.machines.pop(machine_id, None) is not None:
+                log.info("machine %s removed: its record is deleted, revision=%d", machine_id, version)
+        else:
+            self.machines[machine_id] = record
+            if record.lifecycle is not rec.MachineLifecycle.UP:
+                self.restricted_machines[machine_id] = record.lifecycle
+            if record.lifecycle in rec.EVACUATED_LIFECYCLES:
+                self.evacuating_machines[machine_id] = record.lifecycle
+        self.dirty_for_owner.add(machine_id)
+        self.dirty_for_placement.add(machine_id)
+
     def suspend_placement(self, machine_ids: Iterable[str], until: timedelta) -> None:
         """Suspend placement on machines until the given time, or until a record or their owner confirms them.
 
--- a/src/gladecroft/coordination/context.py
+++ b/src/gladecroft/coordination/context.py
@@ -14,7 +14,7 @@
 from gladecroft.coordination.events import Effect, IncomingRequest, OutgoingCall, Reply, Target
 from gladecroft.policies import PolicyEngine, build_policy_engine
 from gladecroft.protocol.settings import MAX_CLOCK_DRIFT, OperatorSettings, PlatformSettings, member_ttl
-from gladecroft.protocol.wire import ErrorReply, decode, encode
+from gladecroft.protocol.wire import ErrorReply, KeyNotFound, KeyValue, decode, encode
 
 log = logging.getLogger(__name__)
 
@@ -217,6 +217,25 @@
         self._start_call(Target.STATE, method, path, body, STATE_TIMEOUT, on_result)
         return True
 
+    def apply_read(self, key: str, status: int, body: bytes) -> bool:
+        """Apply the response to a read of a record to the cluster state; False if the read has to be repeated."""
+        if status == 200:
+            item: KeyValue = decode(KeyValue, body)
+            log.debug("record read: key=%s revision=%d", key, item.version)
+            self.cluster_state.apply(key, item.value, item.version)
+            return True
+        if status == 404:
+            revision = decode(KeyNotFound, body).revision
+            log.info(
+                "record read: key=%s absent at revision=%d, known here: revision=%d",
+                key,
+                revision,
+                self.cluster_state.version(key),
+            )
+            self.cluster_state.apply_absence(key, revision)
+            return True
+        return False
+
     def min_interval(self, share: float, minimum: timedelta) -> timedelta:
         """Interval between state service requests, at least ``minimum``, that uses this share of the request budget."""
         return max(minimum, timedelta(seconds=1 / (share * max(1.0, self.state_requests.rate))))
--- a/src/gladecroft/coordination/membership/membership.py
+++ b/src/gladecroft/coordination/membership/membership.py
@@ -266,15 +266,11 @@
         """Read a key whose current version is not known here, after a failed commit or one with an unknown outcome."""
 
         def on_result(status: int, body: bytes) -> None:
-            if status == 200:
-                item: wire.KeyValue = wire.decode(wire.KeyValue, body)
-                self.cluster_state.apply(key, item.value, item.version)
-                if key == rec.MEMBERS + self.context.name and self.incarnation is None:
-                    record: rec.MemberRecord = wire.decode(rec.MemberRecord, bytes(item.value))
-                    if record.incarnation == self.lease_id:
-                        self.incarnation = self.lease_id
-            elif status == 404:
-                self.cluster_state.apply_absence(key, wire.decode(wire.KeyNotFound, body).revision)
+            self.context.apply_read(key, status, body)
+            if status == 200 and key == rec.MEMBERS + self.context.name and self.incarnation is None:
+                own_record = self.cluster_state.members.get(self.context.name)
+                if own_record is not None and own_record.incarnation == self.lease_id:
+                    self.incarnation = self.lease_id
 
         self.context.call_state("GET", wire.key_path(key), None, on_result, urgent=True)
 
--- a/src/gladecroft/coordination/state_writer/writer.py
+++ b/src/gladecroft/coordination/state_writer/writer.py
@@ -13,7 +13,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import msgspec
@@ -40,6 +40,8 @@
 #: overload, 2 % fewer array jobs completed in time, because the write budget was spent on small placements.
 UNDELAYED_JOBS = 20
 DELAY_PER_JOB = timedelta(milliseconds=2)
+#: Maximum number of stale keys that are being read at a time.
+MAX_READS_IN_FLIGHT = 8
 #: Writes kept free for users' requests, if the burst of the budget is at least three times as large.
 RESERVED_USER_WRITES = 2
 #: How often this controller's share of the write budget is updated.
@@ -289,37 +291,7 @@
 
         def on_commit_result(status: int, body: bytes) -> None:
             self.commit_pending = False
-            for key, value in txn.writes.items():
-                # Writes of a failed commit use up the budget as well.
-                label = rec.RECORD_NAMES.get(key[: len(rec.JOBS)], key) + ("" if value is not None else " dropped")
-                context.count_writes(label if status == 200 else f"refused ({status})")
-            if status == 200:
-                revision = wire.decode(wire.TxnReply, body).revision
-                self.teams_with_unknown_outcome -= txn.claimed_teams
-                for key, value in txn.writes.items():
-                    self.cluster_state.apply(key, value, revision)
-                    write = self.policy_writes.get(key)
-                    if write is not None and write.value == value:
-                        del self.policy_writes[key]
-                        write.on_committed()
-                if log.isEnabledFor(logging.INFO):
-                    for message in txn.log_messages:
-                        log.info("%s", message)
-            elif status == 409:
-                failed: list[str] = wire.decode(wire.TxnReply, body).failed
-                log.debug("commit conflict: %s changed", ",".join(failed))
-                self._stale_keys.extend(key for key in failed if key not in self._stale_keys)
-            elif status == 0:
-                # The outcome is unknown, and the commit may still be executed later. Its keys are read again, and the
-                # next transactions have conditions on them. Its placements together with those of a later commit could
-                # exceed the team's limit. This controller therefore renews its claim before it places again: the old
-                # commit then fails, unless it was executed earlier and the watch delivers its placements.
-                self.teams_with_unknown_outcome |= txn.placed_teams
-                log.info("outcome of commit unknown: reading %d keys again: %s", len(txn.writes), ",".join(txn.writes))
-                self._stale_keys.extend(key for key in txn.writes if key not in self._stale_keys)
-            elif status == 400:
-                log.error("the state service rejected a commit as malformed: %s", body[:200])
-                self._stale_keys.extend(key for key in txn.writes if key not in self._stale_keys)
+            self._handle_commit_result(txn, status, body)
             self._read_stale()
 
         if context.call_state(
@@ -328,9 +300,49 @@
             self.commit_pending = True
             context.writer_has_turn = False
 
+    def _handle_commit_result(self, txn: TransactionBuilder, status: int, body: bytes) -> None:
+        """Applies a committed transaction, or marks the keys to read again."""
+        for key, value in txn.writes.items():
+            # Writes of a failed commit use up the budget as well.
+            label = rec.RECORD_NAMES.get(key[: len(rec.JOBS)], key) + ("" if value is not None else " dropped")
+            self.context.count_writes(label if status == 200 else f"refused ({status})")
+        if status == 200:
+            self._apply_committed(txn, wire.decode(wire.TxnReply, body).revision)
+        elif status == 409:
+            failed: list[str] = wire.decode(wire.TxnReply, body).failed
+            log.debug("commit conflict: %s changed", ",".join(failed))
+            self._mark_stale(failed)
+        elif status == 0:
+            # The outcome is unknown, and the commit may still be executed later. Its keys are read again, and the
+            # next transactions have conditions on them. Its placements together with those of a later commit could
+            # exceed the team's limit. This controller therefore renews its claim before it places again: the old
+            # commit then fails, unless it was executed earlier and the watch delivers its placements.
+            self.teams_with_unknown_outcome |= txn.placed_teams
+            log.info("outcome of commit unknown: reading %d keys again: %s", len(txn.writes), ",".join(txn.writes))
+            self._mark_stale(txn.writes)
+        elif status == 400:
+            log.error("the state service rejected a commit as malformed: %s", body[:200])
+            self._mark_stale(txn.writes)
+
+    def _apply_committed(self, txn: TransactionBuilder, revision: int) -> None:
+        self.teams_with_unknown_outcome -= txn.claimed_teams
+        for key, value in txn.writes.items():
+            self.cluster_state.apply(key, value, revision)
+            write = self.policy_writes.get(key)
+            if write is not None and write.value == value:
+                del self.policy_writes[key]
+                write.on_committed()
+        if log.isEnabledFor(logging.INFO):
+            for message in txn.log_messages:
+                log.info("%s", message)
+
+    def _mark_stale(self, keys: Iterable[str]) -> None:
+        """Queues keys to be read again."""
+        self._stale_keys.extend(key for key in keys if key not in self._stale_keys)
+
     def _read_stale(self) -> None:
-        """Reads stale keys again, at most eight at a time."""
-        while self._stale_keys and self._reads_pending < 8:
+        """Reads stale keys again, at most ``MAX_READS_IN_FLIGHT`` at a time."""
+        while self._stale_keys and self._reads_pending < MAX_READS_IN_FLIGHT:
             key = self._stale_keys[0]
             if not self._read(key):
                 return
@@ -339,16 +351,7 @@
     def _read(self, key: str) -> bool:
         def on_read_result(status: int, body: bytes) -> None:
             self._reads_pending -= 1
-            if status == 200:
-                item: wire.KeyValue = wire.decode(wire.KeyValue, body)
-                log.debug("record read: key=%s revision=%d", key, item.version)
-                self.cluster_state.apply(key, item.value, item.version)
-            elif status == 404:
-                revision = wire.decode(wire.KeyNotFound, body).revision
-                log.info("record read: key=%s absent at revision=%d, known here: revision=%d",
-                         key, revision, self.cluster_state.version(key))  # fmt: skip
-                self.cluster_state.apply_absence(key, revision)
-            else:
+            if not self.context.apply_read(key, status, body):
                 self._stale_keys.append(key)
 
         if not self.context.call_state("GET", wire.key_path(key), None, on_read_result):
--- a/src/gladecroft/coordination/users/lookups.py
+++ b/src/gladecroft/coordination/users/lookups.py
@@ -154,21 +154,15 @@
         def on_read_result(status: int, body: bytes) -> None:
             self._reads_in_flight -= 1
             self._in_flight.discard(job_id)
-            if status == 200:
-                item: wire.KeyValue = wire.decode(wire.KeyValue, body)
-                if key == rec.final_key(job_id):
-                    self.cluster_state.add_final(job_id, wire.decode(rec.FinalRecord, bytes(item.value)))
-                    entries.extend(self._entries.pop(job_id, ()))
-                else:
-                    self.cluster_state.apply(item.key, item.value, item.version)
+            if key == rec.final_key(job_id):
+                self._handle_final_read(job_id, entries, status, body)
+            elif not self.context.apply_read(key, status, body):
+                self._retry_lookup(job_id, entries)
+            elif status == 200:
                 self._finish(entries, True)
-                return
-            self._requeue({job_id: entries})
-            if status == 404 and key != rec.final_key(job_id):
-                self.cluster_state.apply_absence(key, wire.decode(wire.KeyNotFound, body).revision)
-                self._keys_to_read[job_id] = rec.final_key(job_id)
             else:
-                self._delay_retry()  # the job is looked up again from the start
+                self._requeue({job_id: entries})
+                self._keys_to_read[job_id] = rec.final_key(job_id)
 
         if not self.context.call_state("GET", wire.key_path(key), None, on_read_result):
             return False
@@ -176,3 +170,16 @@
         entries = self._take_entries(job_id)
         self._reads_in_flight += 1
         return True
+
+    def _handle_final_read(self, job_id: str, entries: list[PendingRequest], status: int, body: bytes) -> None:
+        if status != 200:
+            self._retry_lookup(job_id, entries)
+            return
+        item: wire.KeyValue = wire.decode(wire.KeyValue, body)
+        self.cluster_state.add_final(job_id, wire.decode(rec.FinalRecord, bytes(item.value)))
+        self._finish(entries + self._entries.pop(job_id, []), True)
+
+    def _retry_lookup(self, job_id: str, entries: list[PendingRequest]) -> None:
+        """Look the job up again from the start, after a delay."""
+        self._requeue({job_id: entries})
+        self._delay_retry()
