The absence of a machine's record hides no deletion that the watch has yet to deliver

A controller that is cut off for more than ten minutes while its read waits may get 404 for a machine that was recorded, returned and deleted meanwhile. The tombstone of that read made it ignore the record and the deletion when the watch delivered them, so the machine stayed in use there.

Change: apply_absence sets no tombstone for machines. For other keys it stays: a job that is over must not appear again.

Measured: test_machine_returned_before_the_read_is_removed_when_the_watch_ delivers_its_deletion failed on the commit before and passes now.

--- a/src/gladecroft/bookkeeping/cluster_state.py
+++ b/src/gladecroft/bookkeeping/cluster_state.py
@@ -132,14 +132,16 @@
     def apply_absence(self, key: str, revision: int) -> None:
         """Apply the result of a read that found no record at this revision.
 
-        If a record is known here, it was deleted. If none is known, there may never have been one: then only older
-        updates that arrive later are ignored. When the absence of a machine's record counted as its deletion, and so as
-        the machine's return to the cloud, a machine that was up was no longer used once the commit of its first record
-        got no response.
+        If a record is known here, it was deleted. If none is known, there may never have been one. When the absence of
+        a machine's record counted as its deletion, and so as the machine's return to the cloud, a machine that was up
+        was no longer used once the commit of its first record got no response.
+
+        Older updates that arrive later are ignored, but for machines: if a machine was returned in the meantime, this
+        controller learns of it from the deletion that the watch has yet to deliver.
         """
         if self.version(key):
             self.apply(key, None, revision)
-        else:
+        elif not key.startswith(rec.MACHINES):
             self._versions.advance(key, revision, exists=False)
 
     def _apply_record(self, key: str, value: bytes | None, version: int) -> None:
--- a/tests/test_absent_records.py
+++ b/tests/test_absent_records.py
@@ -16,7 +16,7 @@
 from gladecroft.protocol import wire
 from gladecroft.protocol.settings import Team
 from test_epochs import clock_at
-from test_fencing import CoreHarness
+from test_fencing import SPEC, CoreHarness
 
 MACHINE = "m-2"
 KEY = rec.machine_key(MACHINE)
@@ -125,15 +125,22 @@
     return cluster_state
 
 
-def test_absence_of_an_unknown_record_hides_only_older_updates() -> None:
+def test_machine_returned_before_the_read_is_removed_when_the_watch_delivers_its_deletion() -> None:
+    # Guards against a controller that was cut off for long and places tasks on a machine that was returned meanwhile.
     cluster_state = cluster_state_with_reported_machine()
-    returning = with_lifecycle(MachineLifecycle.RETURNING)
     cluster_state.apply_absence(KEY, 20)
-    assert cluster_state.version(KEY) == 0
-    assert not cluster_state.apply(KEY, msgspec.json.encode(returning), 20)
     assert cluster_state.machines == {MACHINE: UP}
-    assert cluster_state.apply(KEY, msgspec.json.encode(returning), 21)
-    assert cluster_state.machines == {MACHINE: returning}
+    cluster_state.apply(KEY, msgspec.json.encode(with_lifecycle(MachineLifecycle.RETURNED)), 15)
+    cluster_state.apply(KEY, None, 18)
+    assert cluster_state.was_returned(MACHINE) and not cluster_state.machines
+
+
+def test_absence_of_an_unknown_job_hides_older_updates() -> None:
+    cluster_state = ClusterState([Team("t", 0.0, 0.0)], 16.0)
+    value = msgspec.json.encode(rec.JobRecord(SPEC, 0))
+    cluster_state.apply_absence(rec.job_key(SPEC.id), 20)
+    assert not cluster_state.apply(rec.job_key(SPEC.id), value, 20) and not cluster_state.jobs
+    assert cluster_state.apply(rec.job_key(SPEC.id), value, 21) and SPEC.id in cluster_state.jobs
 
 
 def test_absence_of_a_known_record_is_its_deletion() -> None:
