State writer: the steps of a flush are methods with names

Change: flush reads as its steps; the budgets have methods that say why, and the 4 writes a constant. WorkerTask.started and PlatformSettings.lease, unused since the wording was reworked, are gone. No behaviour changes.

--- a/src/gladecroft/coordination/state_writer/writer.py
+++ b/src/gladecroft/coordination/state_writer/writer.py
@@ -44,6 +44,8 @@
 MAX_READS_IN_FLIGHT = 8
 #: Writes kept free for users' requests, if the burst of the budget is at least three times as large.
 RESERVED_USER_WRITES = 2
+#: Writes that are enough for the next transaction while production jobs are queued.
+MIN_PRODUCTION_WRITES = 4
 #: How often this controller's share of the write budget is updated.
 WRITE_SHARE_INTERVAL = timedelta(seconds=2)
 #: A policy record that has been pending for this long is written ahead of placements; before, only into space that they
@@ -128,39 +130,56 @@
         """Composes and commits the next transaction if it is due, none is in flight and the write budget allows it."""
         context = self.context
         self._read_stale()
-        if (
-            self.commit_pending
-            or self._reads_pending
-            or self._stale_keys
-            or not self.membership.is_active()
-            or context.state_down()
-        ):
+        if not self._may_commit():
             return
         self._update_write_share()
         counts = (self.cluster_state.change_count, len(self.exits), len(self.machine_writes))
-        if context.now - self._flushed_at < (
-            self._flush_delay() if counts != self._flushed_counts else IDLE_FLUSH_INTERVAL
-        ):
+        min_interval = self._flush_delay() if counts != self._flushed_counts else IDLE_FLUSH_INTERVAL
+        if context.now - self._flushed_at < min_interval:
             return
-        # Some writes are kept free for users' requests, which must not wait for the budget to refill.
-        reserved = RESERVED_USER_WRITES if context.state_writes.burst >= 3 * RESERVED_USER_WRITES else 0
-        budget = int(context.state_writes.available(context.now)) - reserved
-        max_ops = context.cluster.state.txn_ops
         production_queued = self._has_queued_production_jobs()
         context.writer_waiting_for_budget = bool(self.cluster_state.queued_jobs or self.exits or self.machine_writes)
-        # While there is more to write than the budget allows, few large transactions achieve more than many small ones.
-        # Otherwise a few writes are enough while production jobs are queued, so that they are placed without delay.
-        if budget < min(
-            4 if production_queued and not self._last_txn_full else max_ops // 2,
-            int(context.state_writes.burst) - reserved,
-        ):
+        budget = int(context.state_writes.available(context.now)) - self._reserved_user_writes()
+        if budget < self._min_budget(production_queued):
             return
         if context.users_waiting_for_budget and not context.writer_has_turn:
             return
         context.writer_waiting_for_budget = False
         self._flushed_at, self._flushed_counts = context.now, counts
-        txn = TransactionBuilder(self.cluster_state, min(max_ops, budget), MAX_TXN_BYTES)
+        txn = TransactionBuilder(self.cluster_state, min(context.cluster.state.txn_ops, budget), MAX_TXN_BYTES)
         context.update_write_rate()
+        self._compose(txn, production_queued)
+        if txn.finish():
+            self._commit(txn)
+
+    def _may_commit(self) -> bool:
+        """Returns whether the outcome of the previous transaction is known and this controller may write."""
+        return not (
+            self.commit_pending
+            or self._reads_pending
+            or self._stale_keys
+            or not self.membership.is_active()
+            or self.context.state_down()
+        )
+
+    def _reserved_user_writes(self) -> int:
+        """Returns how many writes are kept free for users' requests, which must not wait for the budget to refill."""
+        return RESERVED_USER_WRITES if self.context.state_writes.burst >= 3 * RESERVED_USER_WRITES else 0
+
+    def _min_budget(self, production_queued: bool) -> int:
+        """Returns the write budget that has to be available before the next transaction is composed.
+
+        While there is more to write than the budget allows, few large transactions achieve more than many small ones.
+        Otherwise a few writes are enough while production jobs are queued, so that they are placed without delay.
+        """
+        context = self.context
+        writes = context.cluster.state.txn_ops // 2
+        if production_queued and not self._last_txn_full:
+            writes = MIN_PRODUCTION_WRITES
+        return min(writes, int(context.state_writes.burst) - self._reserved_user_writes())
+
+    def _compose(self, txn: TransactionBuilder, production_queued: bool) -> None:
+        """Adds the pending changes to the transaction, the most urgent first."""
         self._compose_claims(txn)
         batches = self.exit_tracker.batches()
         self.completion.compose_awaited_exits(txn, batches, txn.max_ops // 2 if production_queued else 0)
@@ -176,8 +195,6 @@
         self._last_txn_full = not txn.has_room(1, 0)
         self.completion.compose_orphan_deletes(txn)
         self._compose_policies(txn, timedelta(), len(self.policy_writes))
-        if txn.finish():
-            self._commit(txn)
 
     def _flush_delay(self) -> timedelta:
         """Returns the minimum time between two transactions while there are changes to write."""
--- a/src/gladecroft/lab/worker.py
+++ b/src/gladecroft/lab/worker.py
@@ -38,7 +38,6 @@
     state: str
     cause: str | None = None
     saved: bool = False
-    started: timedelta | None = None
 
 
 class SimulatedWorker(WorkerServer):
@@ -331,7 +330,7 @@
             return
         spec = self.job_specs[key[0]]
         self.images.add(spec["recipe"])
-        task.state, task.started = "running", self.sim.now
+        task.state = "running"
         self._request_report()
         self.oracle.task_started(key, self.name, task.attempt, self.machine_type.name, self.zone, self.spot)
         if self.faulty or spec.get("broken"):
--- a/src/gladecroft/protocol/settings.py
+++ b/src/gladecroft/protocol/settings.py
@@ -155,11 +155,6 @@
     zone: str = ""
     peers: list[PeerSettings] = []
 
-    @property
-    def lease(self) -> timedelta:
-        """The lease of a machine on its tasks, renewed by the replies to its reports."""
-        return timedelta(seconds=self.cluster.workers.lease_s)
-
 
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True, rename=lambda name: name.replace("_", ".")):
     """The operators' settings. Keys in the properties file have dots in place of underscores."""
