A gap of the watch also discards the machines that are known by reports

What callers would see: jobs wait for 90 s and more beside free room, because their home controller has placed them on machines that no longer exist, again and again.

A controller whose watch can't continue reads all records again, but kept the machines that it knew by reports only. One that was returned to the cloud, and whose record was deleted, while the controller was cut off is not in the records either, so nothing told it that the machine is gone. If another controller owns it, none finds it silent.

Change: ClusterState.reset discards these machines too. After a gap a controller joins with a new incarnation, so the leader and the owners announce to it the machines that are up, as after a restart.

--- a/src/gladecroft/bookkeeping/cluster_state.py
+++ b/src/gladecroft/bookkeeping/cluster_state.py
@@ -42,8 +42,6 @@
         self.team_settings = {team.name: team for team in teams}
         self.chunk_size = rec.tasks_per_chunk(value_kb)
         self.max_value_bytes = int(value_kb * 1024)
-        #: Machines without a record, known because they have reported to their owner. They are kept by ``reset``.
-        self.reported_machines: dict[str, rec.MachineRecord] = {}
         #: Called for each update of a policy record (subject, name, value), and before all records are read again.
         self.on_policy_change: Callable[[str, str, bytes | None], None] | None = None
         self.on_policy_reset: Callable[[], None] | None = None
@@ -53,7 +51,11 @@
         self.reset()
 
     def reset(self) -> None:
-        """Discard everything but the reported machines, before all records are read again."""
+        """Discard everything, before all records are read again.
+
+        Machines without a record are discarded too. One that was returned to the cloud meanwhile would otherwise stay
+        known here. Those that are up are announced again, as to a controller that has restarted.
+        """
         if self.on_policy_reset is not None:
             self.on_policy_reset()
         self.revision = 0
@@ -63,7 +65,9 @@
         self.jobs: dict[str, Job] = {}
         self.final_records: OrderedDict[str, rec.FinalRecord] = OrderedDict()
         self.team_records: dict[str, rec.TeamRecord] = {}
-        self.machines: dict[str, rec.MachineRecord] = dict(self.reported_machines)
+        self.machines: dict[str, rec.MachineRecord] = {}
+        #: Machines without a record, known because they have reported to their owner; they are in ``machines`` too.
+        self.reported_machines: dict[str, rec.MachineRecord] = {}
         #: By sender: messages for controllers that the sender can't reach.
         self.outboxes: dict[str, rec.OutboxRecord] = {}
         #: The leader's decision on admission in an overload.
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -97,6 +97,14 @@
     assert "m-7" not in cluster_state.machines and cluster_state.was_returned("m-7")
 
 
+def test_machines_known_by_reports_are_forgotten_when_all_records_are_read_again() -> None:
+    # Guards against tasks that wait for a machine that was returned, and its record deleted, during a gap of the watch.
+    cluster_state = cluster_state_with_job(1)
+    cluster_state.add_reported_machine("m-7", rec.MachineRecord("g", "a", False, "10.1.0.7:9000"))
+    cluster_state.reset()
+    assert not cluster_state.machines and not cluster_state.reported_machines
+
+
 def test_machine_in_unknown_zone_has_no_owner() -> None:
     harness = CoreHarness()
     membership = harness.core.membership
