Lab: open watches get every change or status 410 when the log is cut

Cause: the simulated state service dropped changes from its log before it answered open watches, and answered a watch that a rejected controller held open with what the log still had. Controllers were told a revision without the changes before it, which PROTOCOL excludes ('Every change is in the response').

Change: watches are answered before the log is cut; one that is too old gets 410.

Measured: the test failed before.

--- a/src/gladecroft/lab/state_service.py
+++ b/src/gladecroft/lab/state_service.py
@@ -199,9 +199,9 @@
                 else:
                     self.entries.pop(op["drop"], None)
                     self.log.append((op["drop"], None, self.revision))
+            self._notify_watches()
             while len(self.log) > self.max_log_entries:
                 self.first_logged_revision = self.log.pop(0)[2] + 1
-            self._notify_watches()
         reply(200, encode_json({"ledger": self.revision}))
 
     def watch(self, node: str, after: int, timeout: timedelta, reply: ReplyCallback) -> None:
@@ -224,12 +224,16 @@
         self._notify_watches()
 
     def _complete_watch(self, watch: tuple[str, int, ReplyCallback]) -> None:
+        _, after, reply = watch
+        if after + 1 < self.first_logged_revision:
+            reply(410, b"{}")
+            return
         events = [
             {"drop": key, "stamp": revision} if value is None else {"write": key, "data": value, "stamp": revision}
             for key, value, revision in self.log
-            if revision > watch[1]
+            if revision > after
         ]
-        reply, changes = watch[2], encode_json({"ledger": self.revision, "log": events})
+        changes = encode_json({"ledger": self.revision, "log": events})
         if self.watch_delay:
             self.sim.call_later(self.watch_delay, lambda: reply(200, changes))
         else:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,6 +16,8 @@
 from gladecroft.lab.oracle import Oracle
 from gladecroft.lab.scenario import Scenario
 from gladecroft.lab.scenario_syntax import ScenarioError
+from gladecroft.lab.simulation import Simulation
+from gladecroft.lab.state_service import SimulatedStateService
 from gladecroft.protocol.settings import OperatorSettings
 
 SMALL_CLUSTER = "team t cpus=16 max=16\ntype g16 cpus=16 memory=64 boot=5\nup g16\n"
@@ -138,3 +140,28 @@
     statuses: list[int] = []
     worker.serve("n0", "GET", "/status", b"", lambda status, body: statuses.append(status))
     assert statuses == [200]
+
+
+def test_open_watches_get_every_change_or_status_410_when_the_log_is_cut() -> None:
+    # Guards against a simulated state service that skips changes: a controller that misses some may run a task twice.
+    sim = Simulation(1)
+    state = SimulatedStateService(sim, 100.0, 100.0)
+    state.max_log_entries = 0
+    state.rejected_controllers.add("n1")
+    replies: dict[str, tuple[int, bytes]] = {}
+
+    def open_watch(node: str) -> None:
+        def keep_reply(status: int, body: bytes) -> None:
+            replies[node] = (status, body)
+
+        state.watch(node, 1, timedelta(seconds=10), keep_reply)
+
+    open_watch("n0")
+    open_watch("n1")
+    commit = msgspec.json.encode({"if": [], "apply": [{"write": "k", "data": 5}]})
+    state.serve("n0", "POST", "/commit", commit, lambda status, body: None)
+    sim.run_until(timedelta(seconds=1))
+    state.rejected_controllers.clear()
+    sim.run_until(timedelta(seconds=11))
+    assert replies["n0"][0] == 200 and b'"write":"k"' in replies["n0"][1]
+    assert replies["n1"][0] == 410
